--- /dev/null
+++ b/apps/fescuectl.cpp
@@ -0,0 +1,198 @@
+/**
+ * @file
+ * The operators' command line.
+ */
+
+#include "ctl/call.h"
+#include "ctl/load.h"
+#include "ctl/options.h"
+#include "ctl/show.h"
+#include "fescuestream/json/object_reader.h"
+#include "fescuestream/wire/frame.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <optional>
+
+namespace {
+
+using namespace fescue::ctl;
+using fescue::http::client_response;
+using fescue::http::delivery;
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr int first_error_status = 400;
+
+int usage(const std::string& what)
+{
+    fmt::print(stderr, "fescuectl: {} (see fescuectl --help)\n", what);
+    return exit_usage;
+}
+
+/** Prints an answer; a refusal goes to standard error. */
+int print(const client_response& r)
+{
+    if (r.how != delivery::answered) {
+        fmt::print(stderr, "fescuectl: no answer: {}\n", r.fault);
+        return exit_failed;
+    }
+    const bool refused = r.status >= first_error_status;
+    fmt::print(refused ? stderr : stdout, "{}\n", r.body);
+    return refused ? exit_failed : 0;
+}
+
+/** @return the answer's JSON, or nothing after saying why not. */
+std::optional<nlohmann::json> fetch(const options& opts, const std::string& path)
+{
+    const client_response r = send(opts, {"GET", path, "", {}});
+    if (r.how != delivery::answered || r.status >= first_error_status) {
+        print(r);
+        return std::nullopt;
+    }
+    return nlohmann::json::parse(r.body);
+}
+
+int form(const options& opts)
+{
+    return print(send(opts, {"POST", "/v1/form", "", {}}));
+}
+
+int status(const options& opts)
+{
+    const auto body = fetch(opts, "/v1/status");
+    if (!body) {
+        return exit_failed;
+    }
+    fmt::print("{}", opts.json ? body->dump() + "\n" : status_text(*body));
+    return 0;
+}
+
+int catalogue_get(const options& opts)
+{
+    const auto body = fetch(opts, "/v1/catalogue");
+    if (!body) {
+        return exit_failed;
+    }
+    fmt::print(stderr, "version {}\n", body->at("version").get<std::uint64_t>());
+    fmt::print("{}\n", opts.json ? body->dump() : body->at("catalogue").dump(2));
+    return 0;
+}
+
+int catalogue_put(const options& opts)
+{
+    std::ifstream in{opts.words[2], std::ios::binary};
+    if (!in) {
+        return usage("cannot read '" + opts.words[2] + "'");
+    }
+    const std::string text{std::istreambuf_iterator<char>{in}, {}};
+    std::string version;
+    if (opts.words.size() > 3) {
+        version = opts.words[3];
+    } else if (const auto body = fetch(opts, "/v1/catalogue")) {
+        version = std::to_string(body->at("version").get<std::uint64_t>());
+    } else {
+        return exit_failed;
+    }
+    return print(send_order(opts, {"PUT", "/v1/catalogue", text, {{"If-Match", version}}}));
+}
+
+int catalogue(const options& opts)
+{
+    if (opts.words.size() == 2 && opts.words[1] == "get") {
+        return catalogue_get(opts);
+    }
+    if (opts.words.size() >= 3 && opts.words[1] == "put") {
+        return catalogue_put(opts);
+    }
+    return usage("catalogue get | catalogue put FILE [VERSION]");
+}
+
+int key(const options& opts)
+{
+    if (opts.words.size() == 3 && opts.words[1] == "give") {
+        const nlohmann::json body{{"team", opts.words[2]}};
+        return print(send_order(opts, {"POST", "/v1/keys", body.dump(), {}}));
+    }
+    if (opts.words.size() == 3 && opts.words[1] == "withdraw") {
+        return print(send_order(opts, {"DELETE", "/v1/keys/" + opts.words[2], "", {}}));
+    }
+    return usage("key give TEAM | key withdraw ID");
+}
+
+int data_centre(const options& opts)
+{
+    const bool known = opts.words.size() == 3 && (opts.words[1] == "out" || opts.words[1] == "in");
+    if (!known) {
+        return usage("data-centre out|in ID");
+    }
+    const std::string path = "/v1/data-centres/" + opts.words[2] + "/" + opts.words[1];
+    return print(send_order(opts, {"POST", path, "", {}}));
+}
+
+int order(const options& opts)
+{
+    return opts.words.size() == 2
+               ? print(send(opts, {"GET", "/v1/orders/" + opts.words[1], "", {}}))
+               : usage("order VERSION");
+}
+
+int maintenance(const options& opts)
+{
+    if (opts.words.size() < 4) {
+        return usage("maintenance reboot|drain servers|rack|data-centre NAMES...");
+    }
+    nlohmann::json body{{"action", opts.words[1]}};
+    if (opts.words[2] == "servers") {
+        body["servers"] = std::vector<std::string>(opts.words.begin() + 3, opts.words.end());
+    } else if (opts.words[2] == "rack") {
+        body["rack"] = opts.words[3];
+    } else if (opts.words[2] == "data-centre") {
+        body["data_centre"] = opts.words[3];
+    } else {
+        return usage("maintenance takes servers, rack or data-centre");
+    }
+    return print(send_order(opts, {"POST", "/v1/maintenance", body.dump(), {}}));
+}
+
+int wave(const options& opts)
+{
+    return opts.words.size() == 2
+               ? print(send(opts, {"GET", "/v1/maintenance/" + opts.words[1], "", {}}))
+               : usage("wave ID");
+}
+
+int explain(const options& opts)
+{
+    if (opts.words.size() != 3) {
+        return usage("explain server|team|pool|request ID");
+    }
+    const auto body = fetch(opts, "/v1/explain/" + opts.words[1] + "/" + opts.words[2]);
+    if (!body) {
+        return exit_failed;
+    }
+    fmt::print("{}", opts.json ? body->dump() + "\n" : explain_text(*body));
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    fescue::wire::start_crypto();
+    const options opts = read_options(argc, argv);
+    const std::map<std::string, std::function<int(const options&)>> verbs{
+        {"form", form},     {"status", status},           {"catalogue", catalogue},
+        {"key", key},       {"data-centre", data_centre}, {"order", order},
+        {"wave", wave},     {"maintenance", maintenance}, {"explain", explain},
+        {"load", run_load},
+    };
+    const auto verb = verbs.find(opts.words.front());
+    return verb == verbs.end() ? usage("there is no verb '" + opts.words.front() + "'")
+                               : verb->second(opts);
+}
--- /dev/null
+++ b/apps/fescued.cpp
@@ -0,0 +1,118 @@
+/**
+ * @file
+ * The entry instance's program.
+ */
+
+#include "fescuestream/base/log.h"
+#include "fescuestream/base/loop.h"
+#include "fescuestream/settings/settings.h"
+#include "fescuestream/wire/frame.h"
+#include "node/node.h"
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <utility>
+
+namespace {
+
+constexpr const char* version = FESCUESTREAM_VERSION;
+constexpr int exit_usage = 2;
+
+constexpr const char* help = R"(fescued: an entry instance of fescuestream
+
+usage: fescued --config FILE [--check]
+       fescued --version | --help
+
+  --config FILE   settings, JSON with comments (docs/OPERATIONS.md names every field)
+  --check         read the settings, name every fault by its path, and end: 0 or 2
+  --version       print the version
+  --help          print this
+
+Signals: SIGTERM and SIGINT begin a planned stop that cuts no request.
+
+examples:
+  fescued --config examples/one/entry-1.json
+  fescued --config /etc/fescuestream/entry-1.json --check
+)";
+
+struct options {
+    std::string config;
+    bool check{false};
+};
+
+/** Reads the command line; ends the process for --help, --version and faults. */
+options read_options(int argc, char** argv)
+{
+    const option known[] = {{"config", required_argument, nullptr, 'c'},
+                            {"check", no_argument, nullptr, 'k'},
+                            {"version", no_argument, nullptr, 'v'},
+                            {"help", no_argument, nullptr, 'h'},
+                            {nullptr, 0, nullptr, 0}};
+    options out;
+    int found = 0;
+    while ((found = getopt_long(argc, argv, "c:kvh", known, nullptr)) != -1) {
+        switch (found) {
+        case 'c':
+            out.config = optarg;
+            break;
+        case 'k':
+            out.check = true;
+            break;
+        case 'v':
+            fmt::print("fescued {}\n", version);
+            std::exit(0);
+        case 'h':
+            fmt::print("{}", help);
+            std::exit(0);
+        default:
+            std::exit(exit_usage);
+        }
+    }
+    if (out.config.empty() || optind != argc) {
+        fmt::print(stderr, "{}", help);
+        std::exit(exit_usage);
+    }
+    return out;
+}
+
+int run(fescue::settings::instance_settings settings)
+{
+    fescue::log::set_level(settings.log_level);
+    fescue::event_loop loop;
+    const std::string id = settings.id.str();
+    fescue::node::instance instance{loop, std::move(settings)};
+    if (const auto fault = instance.start()) {
+        fescue::log::failure("cannot_start", {{"instance", id}, {"why", fault->detail}});
+        return 1;
+    }
+    loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
+    loop.on_signal(SIGINT, [&] { instance.shut_down(); });
+    fescue::log::info("started", {{"instance", id}, {"version", version}});
+    loop.run();
+    return instance.exit_status();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const options opts = read_options(argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    fescue::wire::start_crypto();
+    auto loaded = fescue::settings::load(opts.config);
+    if (const auto* faults = std::get_if<fescue::json::faults>(&loaded)) {
+        for (const auto& f : *faults) {
+            fmt::print(stderr, "{}: {}\n", f.path.empty() ? opts.config : f.path, f.what);
+        }
+        return exit_usage;
+    }
+    if (opts.check) {
+        fmt::print("{}: ok\n", opts.config);
+        return 0;
+    }
+    return run(std::move(std::get<fescue::settings::instance_settings>(loaded)));
+}
--- /dev/null
+++ b/include/fescuestream/base/codec.h
@@ -0,0 +1,184 @@
+#pragma once
+
+/**
+ * @file
+ * Bytes from values and back, by cereal. Reading is bounded: a length that exceeds the bytes left
+ * is an error before any memory is taken for it.
+ */
+
+#include "fescuestream/base/error.h"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/array.hpp>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <bit>
+#include <cstring>
+#include <exception>
+#include <string>
+#include <string_view>
+
+namespace fescue {
+
+namespace internal {
+
+/** Input archive over bytes in place, the counterpart of cereal::BinaryOutputArchive. */
+class bounded_input_archive
+    : public cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision> {
+public:
+    explicit bounded_input_archive(std::string_view bytes)
+        : cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision>{this},
+          left_{bytes}
+    {
+    }
+    std::size_t left() const noexcept { return left_.size(); }
+
+    /** Copies the next bytes out. */
+    void read(void* out, std::size_t size)
+    {
+        if (size > left_.size()) {
+            throw cereal::Exception{"the bytes end too early"};
+        }
+        std::memcpy(out, left_.data(), size);
+        left_.remove_prefix(size);
+    }
+
+    /** Reads a count of elements, each of which takes at least a byte. */
+    std::uint64_t read_count()
+    {
+        std::uint64_t count = 0;
+        read(&count, sizeof count);
+        if (count > left_.size()) {
+            throw cereal::Exception{"a length exceeds the bytes left"};
+        }
+        return count;
+    }
+
+private:
+    std::string_view left_;
+};
+
+/** Output archive that appends to a string; bounded_input_archive reads what it wrote. */
+class string_output_archive
+    : public cereal::OutputArchive<string_output_archive, cereal::AllowEmptyClassElision> {
+public:
+    explicit string_output_archive(std::string& out)
+        : cereal::OutputArchive<string_output_archive, cereal::AllowEmptyClassElision>{this},
+          out_{out}
+    {
+    }
+    void write(const void* data, std::size_t size)
+    {
+        out_.append(static_cast<const char*>(data), size);
+    }
+
+private:
+    std::string& out_;
+};
+
+} // namespace internal
+
+} // namespace fescue
+
+CEREAL_REGISTER_ARCHIVE(fescue::internal::bounded_input_archive)
+CEREAL_REGISTER_ARCHIVE(fescue::internal::string_output_archive)
+CEREAL_SETUP_ARCHIVE_TRAITS(fescue::internal::bounded_input_archive,
+                            fescue::internal::string_output_archive)
+
+namespace cereal {
+
+template <class T>
+std::enable_if_t<std::is_arithmetic_v<T>>
+CEREAL_SAVE_FUNCTION_NAME(fescue::internal::string_output_archive& archive, const T& value)
+{
+    archive.write(&value, sizeof value);
+}
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(fescue::internal::string_output_archive& archive,
+                               const BinaryData<T>& value)
+{
+    archive.write(value.data, static_cast<std::size_t>(value.size));
+}
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(fescue::internal::string_output_archive& archive,
+                               const NameValuePair<T>& value)
+{
+    archive(value.value);
+}
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(fescue::internal::string_output_archive& archive,
+                               const SizeTag<T>& value)
+{
+    const auto count = static_cast<std::uint64_t>(value.size);
+    archive.write(&count, sizeof count);
+}
+
+template <class T>
+std::enable_if_t<std::is_arithmetic_v<T>>
+CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive, T& out)
+{
+    archive.read(&out, sizeof out);
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive, BinaryData<T>& out)
+{
+    archive.read(out.data, static_cast<std::size_t>(out.size));
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive,
+                               NameValuePair<T>& out)
+{
+    archive(out.value);
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive, SizeTag<T>& out)
+{
+    out.size = static_cast<std::decay_t<T>>(archive.read_count());
+}
+
+} // namespace cereal
+
+namespace fescue {
+
+static_assert(std::endian::native == std::endian::little, "the format is little-endian");
+
+/** @return the value's bytes. */
+template <class T>
+std::string to_bytes(const T& v)
+{
+    std::string out;
+    internal::string_output_archive archive{out};
+    archive(v);
+    return out;
+}
+
+/** @return the value that the bytes stand for; all of them must be used. */
+template <class T>
+result<T> from_bytes(std::string_view bytes)
+{
+    try {
+        internal::bounded_input_archive archive{bytes};
+        T out;
+        archive(out);
+        if (archive.left() != 0) {
+            return error{error_kind::bad_request, "bytes are left over"};
+        }
+        return out;
+    } catch (const std::exception& e) {
+        return error{error_kind::bad_request, e.what()};
+    }
+}
+
+} // namespace fescue
--- /dev/null
+++ b/include/fescuestream/base/error.h
@@ -0,0 +1,104 @@
+#pragma once
+
+/**
+ * @file
+ * The closed list of error kinds, the table from kind to answer, and the value-or-error result.
+ */
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace fescue {
+
+/** Every way in which a request or an order can be refused or fail. */
+enum class error_kind : std::uint8_t {
+    bad_request,
+    bad_settings,
+    bad_catalogue,
+    bad_key,
+    not_permitted,
+    not_found,
+    conflict,
+    in_progress,
+    key_reused,
+    too_large,
+    queue_full,
+    at_limit,
+    too_late,
+    no_server,
+    not_serving,
+    draining,
+    claim_failed,
+    no_leader,
+    server_refused,
+    server_failed,
+    outcome_unknown,
+    corrupt_store,
+    does_not_fit,
+    internal,
+    count_
+};
+
+/** Whether the work behind a refused request was started. */
+enum class ran_state : std::uint8_t { no, unknown };
+
+/** What the caller is told about trying again. */
+enum class retry_advice : std::uint8_t { never, later, soon };
+
+/** One row of the table from kind to answer. */
+struct error_row {
+    error_kind kind;
+    std::string_view name;
+    int http_status;
+    ran_state ran;
+    retry_advice advice;
+    std::string_view message;
+};
+
+/** @return the table's row for a kind. */
+const error_row& row_of(error_kind kind) noexcept;
+/** @return the kind's name as it stands in answers, logs and metrics. */
+std::string_view name_of(error_kind kind) noexcept;
+
+/** An error kind with the words that explain this occurrence. */
+struct error {
+    error_kind kind{error_kind::internal};
+    std::string detail;
+};
+
+/** A value or an error. */
+template <class T>
+using result = std::variant<T, error>;
+
+/** A result without a value. */
+using status = std::optional<error>;
+
+template <class T>
+bool ok(const result<T>& r) noexcept
+{
+    return r.index() == 0;
+}
+
+template <class T>
+const T& value(const result<T>& r)
+{
+    return std::get<0>(r);
+}
+
+template <class T>
+T& value(result<T>& r)
+{
+    return std::get<0>(r);
+}
+
+template <class T>
+const error& error_of(const result<T>& r)
+{
+    return std::get<1>(r);
+}
+
+} // namespace fescue
--- /dev/null
+++ b/include/fescuestream/wire/message.h
@@ -0,0 +1,340 @@
+#pragma once
+
+/**
+ * @file
+ * Typed messages between instances. Times travel as what is left, in milliseconds, since the
+ * instances' clocks have nothing in common.
+ */
+
+#include "fescuestream/base/error.h"
+#include "fescuestream/base/ids.h"
+#include "fescuestream/consensus/message.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fescue::wire {
+
+/** First message on a connection. */
+struct hello {
+    instance_id from;
+    incarnation life{0};
+    incarnation disk{0};
+    std::uint64_t cluster{0};
+    data_centre_id data_centre;
+    std::string callers_address;
+    std::string control_address;
+    std::string nonce;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(from, life, disk, cluster, data_centre, callers_address, control_address, nonce);
+    }
+};
+
+/** Asks the leader to put a command into the log. */
+struct propose_request {
+    std::uint64_t number{0};
+    std::string command;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, command);
+    }
+};
+
+/** Where the command went; its effect is seen when the asker applies that entry itself. */
+struct propose_reply {
+    std::uint64_t number{0};
+    bool accepted{false};
+    log_index index{0};
+    term_number term{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, accepted, index, term);
+    }
+};
+
+/** An operator's or the platform's call, handed on to the leader. */
+struct control_call {
+    std::uint64_t number{0};
+    std::string method;
+    std::string path;
+    std::string body;
+    std::string idempotency_key;
+    std::string if_match;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, method, path, body, idempotency_key, if_match);
+    }
+};
+
+struct control_reply {
+    std::uint64_t number{0};
+    int status{0};
+    std::string content_type;
+    std::string body;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, status, content_type, body);
+    }
+};
+
+/** A request on its way from the instance that took it to the home of a server. */
+struct work {
+    request_id id;
+    team_id team;
+    /** Empty on an open service that was called without a key. */
+    key_id key;
+    service_id service;
+    std::string path;
+    std::string content_type;
+    std::string body;
+    std::int64_t left_ms{0};
+    /** Set when a claim was recorded for it. */
+    std::string claim_key;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, team, key, service, path, content_type, body, left_ms, claim_key);
+    }
+};
+
+/** The home holds the work and will ask before starting it, unless it is repeatable. */
+struct work_queued {
+    request_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id);
+    }
+};
+
+/** The home has a slot for queued work that may not be repeated. */
+struct start_ask {
+    request_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id);
+    }
+};
+
+struct start_answer {
+    request_id id;
+    bool go{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, go);
+    }
+};
+
+/** How work ended: the server's whole answer, or a refusal. */
+struct work_reply {
+    request_id id;
+    bool refused{false};
+    error_kind kind{error_kind::internal};
+    std::string detail;
+    /** Whether any attempt at this home may have run. */
+    bool may_have_run{false};
+    int status{0};
+    std::string content_type;
+    std::string body;
+
+    template <class Archive>
+    void save(Archive& archive) const
+    {
+        archive(id, refused, static_cast<std::uint8_t>(kind), detail, may_have_run, status,
+                content_type, body);
+    }
+    template <class Archive>
+    void load(Archive& archive)
+    {
+        std::uint8_t raw = 0;
+        archive(id, refused, raw, detail, may_have_run, status, content_type, body);
+        kind = raw < static_cast<std::uint8_t>(error_kind::count_) ? static_cast<error_kind>(raw)
+                                                                   : error_kind::internal;
+    }
+};
+
+/** What a backend server says of itself, every second. */
+struct announcement {
+    server_id id;
+    std::string address;
+    data_centre_id data_centre;
+    rack_id rack;
+    incarnation life{0};
+    std::uint32_t slots{0};
+    std::uint32_t connections{0};
+    std::uint32_t processors{0};
+    std::uint32_t memory_mb{0};
+    std::uint32_t accelerators{0};
+    std::vector<request_id> running;
+    bool leaving{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, address, data_centre, rack, life, slots, connections, processors, memory_mb,
+                accelerators, running, leaving);
+    }
+};
+
+/** One pool's load at one home. */
+struct pool_load {
+    pool_id pool;
+    std::uint32_t slots{0};
+    std::uint32_t free{0};
+    std::uint32_t queued{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(pool, slots, free, queued);
+    }
+};
+
+/** What a team has running at one home, by pool. */
+struct team_running {
+    pool_id pool;
+    team_id team;
+    std::uint32_t running{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(pool, team, running);
+    }
+};
+
+/** A home's load, told to every instance. */
+struct load_report {
+    bool accepting{false};
+    std::vector<pool_load> pools;
+    std::vector<team_running> teams;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(accepting, pools, teams);
+    }
+};
+
+/** A holder's use of one team's allotment. */
+struct allotment_use {
+    team_id team;
+    epoch_number epoch{0};
+    /** What the holder keeps to now; below the log's cap when it gave some back. */
+    std::uint32_t cap{0};
+    std::uint32_t running{0};
+    std::uint32_t waiting{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(team, epoch, cap, running, waiting);
+    }
+};
+
+/** A server as its home sees it. */
+struct server_use {
+    server_id id;
+    incarnation life{0};
+    std::uint32_t running{0};
+    bool leaving{false};
+    bool alive{false};
+    bool on_probation{false};
+    /** Epoch that the home acts on; it starts nothing under an older one. */
+    epoch_number epoch{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, life, running, leaving, alive, on_probation, epoch);
+    }
+};
+
+/** Demand for a pool since the last report. */
+struct pool_demand {
+    pool_id pool;
+    std::uint32_t running{0};
+    std::uint32_t queued{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(pool, running, queued);
+    }
+};
+
+/** What an instance tells the leader. */
+struct instance_report {
+    incarnation life{0};
+    /** It shuts down, so it wants no homes and no allotments. */
+    bool draining{false};
+    std::vector<allotment_use> allotments;
+    std::vector<server_use> servers;
+    std::vector<pool_demand> demand;
+    /** Servers that announced themselves here, and whose home did not confirm them. */
+    std::vector<announcement> strays;
+    /** Instances that this one does not hear. */
+    std::vector<instance_id> not_heard;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(life, draining, allotments, servers, demand, strays, not_heard);
+    }
+};
+
+/** The leader asks a holder to keep to less, for the others' sake. */
+struct release_ask {
+    team_id team;
+    epoch_number epoch{0};
+    std::uint32_t keep{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(team, epoch, keep);
+    }
+};
+
+using message =
+    std::variant<hello, consensus::append_request, consensus::append_reply, consensus::vote_request,
+                 consensus::vote_reply, consensus::install_snapshot, propose_request, propose_reply,
+                 control_call, control_reply, work, work_queued, start_ask, start_answer,
+                 work_reply, announcement, load_report, instance_report, release_ask>;
+
+/** Datagram between instances: who is alive, and whom it hears. */
+struct heartbeat {
+    instance_id from;
+    incarnation life{0};
+    std::uint64_t sequence{0};
+    /** Hears from the log's leader. */
+    bool has_leader{false};
+    std::vector<instance_id> hears;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(from, life, sequence, has_leader, hears);
+    }
+};
+
+} // namespace fescue::wire
--- /dev/null
+++ b/include/fescuestream/wire/transport.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/**
+ * @file
+ * Connections between instances on the event loop. Each instance opens one TCP connection to each
+ * other and sends on it; answers come over the other's own. Heartbeats go by UDP to the same port.
+ */
+
+#include "fescuestream/base/loop.h"
+#include "fescuestream/http/server.h"
+#include "fescuestream/wire/message.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fescue::wire {
+
+/** An instance to connect to. */
+struct peer_address {
+    instance_id id;
+    http::endpoint address;
+};
+
+/** What a transport tells its owner. */
+struct transport_events {
+    /** A message came from an authenticated instance. */
+    std::function<void(const hello&, message&&)> received;
+    std::function<void(const heartbeat&)> heard;
+    /** The connection to the peer is up; the peer's hello says who it is now. */
+    std::function<void(const hello&)> connected;
+    std::function<void(const instance_id&)> disconnected;
+};
+
+class transport {
+public:
+    transport(event_loop& loop, std::string secret, http::endpoint listen,
+              std::vector<peer_address> peers, transport_events events);
+    ~transport();
+    transport(const transport&) = delete;
+    transport& operator=(const transport&) = delete;
+
+    /** Starts listening and connecting. @param self what this instance says of itself. */
+    status start(std::function<hello()> self);
+    /** Sends; a message to a peer that is not connected is dropped. @return whether it was taken.
+     */
+    bool send(const instance_id& to, const message& m);
+    void send_heartbeat(const heartbeat& beat);
+    bool connected(const instance_id& to) const;
+    /** @return bytes sent over TCP and UDP so far. */
+    std::uint64_t bytes_sent() const noexcept;
+
+    struct impl;
+
+private:
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace fescue::wire
--- /dev/null
+++ b/src/admission/allotment.cpp
@@ -0,0 +1,272 @@
+#include "fescuestream/admission/allotment.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace fescue::admission {
+
+namespace {
+
+/** One holder of one team's allotment, as the plan sees it. */
+struct candidate {
+    instance_id id;
+    incarnation life{0};
+    catalogue::allotment held;
+    wire::allotment_use use;
+    bool is_home{false};
+    /** Its allotment changes in this plan already. */
+    bool settled{false};
+    std::uint32_t target{0};
+
+    std::uint32_t demand() const noexcept { return use.running + use.waiting; }
+    bool blocked() const noexcept { return use.waiting > 0; }
+};
+
+class team_plan {
+public:
+    team_plan(const catalogue::control_state& state, const team_id& team, std::uint32_t limit,
+              allotment_plan& out)
+        : team_{team}, limit_{limit}, counted_{state.counted(team)}, out_{out}
+    {
+    }
+
+    void add(candidate c) { all_.push_back(std::move(c)); }
+
+    void run()
+    {
+        std::uint32_t seen = 0;
+        for (const candidate& c : all_) {
+            seen += c.held.counted;
+        }
+        // What unreachable and ended holders have is out of reach until it comes back.
+        const std::uint32_t elsewhere = counted_ - std::min(counted_, seen);
+        within_reach_ = limit_ - std::min(limit_, elsewhere);
+        record_give_backs();
+        set_targets();
+        grant();
+        ask_back();
+    }
+
+private:
+    void record_give_backs()
+    {
+        for (candidate& c : all_) {
+            if (c.use.epoch != c.held.epoch) {
+                c.settled = c.held.epoch != 0;
+                continue;
+            }
+            const std::uint32_t cap = std::min(c.use.cap, c.held.cap);
+            const std::uint32_t counted = std::max(cap, c.use.running);
+            if (cap != c.held.cap || counted < c.held.counted) {
+                change(c, cap, std::min(counted, c.held.counted));
+            }
+        }
+    }
+
+    void set_targets()
+    {
+        const auto homes = std::ranges::count_if(all_, &candidate::is_home);
+        std::uint64_t demand = 0;
+        for (const candidate& c : all_) {
+            demand += c.is_home ? c.demand() : 0;
+        }
+        if (homes == 0) {
+            return;
+        }
+        const bool scarce = demand > within_reach_;
+        const std::uint64_t spare = scarce ? 0 : within_reach_ - demand;
+        std::uint64_t left = within_reach_;
+        for (candidate& c : all_) {
+            const std::uint64_t share =
+                scarce ? std::uint64_t{c.demand()} * within_reach_ / demand
+                       : c.demand() + spare / static_cast<std::uint64_t>(homes);
+            c.target = c.is_home ? static_cast<std::uint32_t>(std::min(share, left)) : 0;
+            left -= c.target;
+        }
+        hand_out_rest(left);
+    }
+
+    /** Whole numbers leave a rest; it goes to those with demand and least, one each. */
+    void hand_out_rest(std::uint64_t left)
+    {
+        std::vector<candidate*> order;
+        for (candidate& c : all_) {
+            if (c.is_home) {
+                order.push_back(&c);
+            }
+        }
+        std::ranges::stable_sort(order, [](const candidate* a, const candidate* b) {
+            return std::pair{!a->blocked(), a->target} < std::pair{!b->blocked(), b->target};
+        });
+        for (std::size_t i = 0; left > 0 && !order.empty(); ++i, --left) {
+            ++order[i % order.size()]->target;
+        }
+    }
+
+    void grant()
+    {
+        std::uint32_t free = limit_ - std::min(limit_, counted_);
+        for (const bool blocked_first : {true, false}) {
+            for (candidate& c : all_) {
+                if (c.settled || c.blocked() != blocked_first || c.held.cap >= c.target) {
+                    continue;
+                }
+                const std::uint32_t room = free + (c.held.counted - c.held.cap);
+                const std::uint32_t cap = std::min(c.target, c.held.cap + room);
+                if (cap > c.held.cap) {
+                    const std::uint32_t counted = std::max(cap, c.held.counted);
+                    free -= counted - c.held.counted;
+                    change(c, cap, counted);
+                }
+            }
+        }
+    }
+
+    void ask_back()
+    {
+        const bool short_of = std::ranges::any_of(all_, [](const candidate& c) {
+            return c.is_home && c.blocked() && c.held.cap < c.target;
+        });
+        const bool useless = std::ranges::any_of(
+            all_, [](const candidate& c) { return !c.is_home && c.held.cap > 0; });
+        if (!short_of && !useless) {
+            return;
+        }
+        for (const candidate& c : all_) {
+            const bool wanted = short_of || !c.is_home;
+            if (!c.settled && wanted && c.held.cap > c.target) {
+                out_.asks.push_back({c.id, {team_, c.held.epoch, c.target}});
+            }
+        }
+    }
+
+    void change(candidate& c, std::uint32_t cap, std::uint32_t counted)
+    {
+        out_.changes.push_back({team_, c.id, c.life, c.held.epoch, cap, counted});
+        c.settled = true;
+    }
+
+    team_id team_;
+    std::uint32_t limit_;
+    std::uint32_t counted_;
+    std::uint32_t within_reach_{0};
+    std::vector<candidate> all_;
+    allotment_plan& out_;
+};
+
+const catalogue::allotment* held_by(const catalogue::control_state& state, const team_id& team,
+                                    const instance_id& holder)
+{
+    const auto holders = state.allotments.find(team);
+    if (holders == state.allotments.end()) {
+        return nullptr;
+    }
+    const auto found = holders->second.find(holder);
+    return found == holders->second.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+void allotment_ledger::commit(const team_id& team, const catalogue::allotment* held)
+{
+    entry& e = entries_[team];
+    if (held == nullptr) {
+        e.cap = 0;
+        e.epoch = 0;
+    } else if (held->epoch != e.epoch) {
+        e.cap = held->cap;
+        e.epoch = held->epoch;
+    }
+}
+
+void allotment_ledger::commit_all(const catalogue::control_state& state, const instance_id& self,
+                                  incarnation life)
+{
+    for (auto& [team, e] : entries_) {
+        const auto* held = held_by(state, team, self);
+        commit(team, held != nullptr && held->life == life ? held : nullptr);
+    }
+    for (const auto& [team, holders] : state.allotments) {
+        const auto found = holders.find(self);
+        if (found != holders.end() && found->second.life == life) {
+            commit(team, &found->second);
+        }
+    }
+}
+
+void allotment_ledger::release(const team_id& team, epoch_number epoch, std::uint32_t keep)
+{
+    entry& e = entries_[team];
+    if (e.epoch == epoch) {
+        e.cap = std::min(e.cap, keep);
+    }
+}
+
+bool allotment_ledger::may_start(const team_id& team) const
+{
+    const auto found = entries_.find(team);
+    return found != entries_.end() && found->second.running < found->second.cap;
+}
+
+void allotment_ledger::started(const team_id& team)
+{
+    ++entries_[team].running;
+}
+
+void allotment_ledger::ended(const team_id& team)
+{
+    --entries_[team].running;
+}
+
+std::uint32_t allotment_ledger::running(const team_id& team) const
+{
+    const auto found = entries_.find(team);
+    return found == entries_.end() ? 0 : found->second.running;
+}
+
+std::uint32_t allotment_ledger::cap(const team_id& team) const
+{
+    const auto found = entries_.find(team);
+    return found == entries_.end() ? 0 : found->second.cap;
+}
+
+std::vector<wire::allotment_use> allotment_ledger::uses() const
+{
+    std::vector<wire::allotment_use> out;
+    for (const auto& [team, e] : entries_) {
+        if (e.cap > 0 || e.running > 0 || e.epoch > 0) {
+            out.push_back({team, e.epoch, e.cap, e.running, 0});
+        }
+    }
+    return out;
+}
+
+allotment_plan plan_allotments(const catalogue::control_state& state,
+                               const std::map<instance_id, holder_view>& holders)
+{
+    allotment_plan out;
+    for (const auto& [team, about] : state.doc.teams) {
+        team_plan plan{state, team, about.upper_limit, out};
+        for (const auto& [id, view] : holders) {
+            const auto known = state.members.find(id);
+            if (known == state.members.end() || known->second.life != view.life) {
+                continue;
+            }
+            candidate c;
+            c.id = id;
+            c.life = view.life;
+            c.is_home = view.is_home;
+            if (const auto* held = held_by(state, team, id)) {
+                c.held = *held;
+            }
+            if (const auto use = view.uses.find(team); use != view.uses.end()) {
+                c.use = use->second;
+            }
+            plan.add(std::move(c));
+        }
+        plan.run();
+    }
+    return out;
+}
+
+} // namespace fescue::admission
--- /dev/null
+++ b/src/catalogue/document.cpp
@@ -0,0 +1,159 @@
+#include "fescuestream/catalogue/document.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace fescue::catalogue {
+
+namespace {
+
+constexpr std::int64_t most_count = 1'000'000;
+constexpr std::int64_t default_team_limit = 1'000;
+constexpr std::int64_t default_queue_limit = 100;
+constexpr std::int64_t default_timeout_ms = 5'000;
+constexpr std::int64_t default_max_run_ms = 10'000;
+constexpr std::int64_t default_cut_off_s = 600;
+constexpr std::int64_t hour_ms = 3'600'000;
+constexpr std::int64_t day_s = 86'400;
+constexpr double least_share = 0.001;
+constexpr double most_share = 1'000'000;
+
+constexpr std::array<const char*, 3> class_names{"urgent", "normal", "background"};
+
+service_class read_class(json::object_reader& reader)
+{
+    const std::string text = reader.text("class", "normal");
+    const auto* found = std::ranges::find(class_names, text);
+    if (found == class_names.end()) {
+        reader.report("class", "must be urgent, normal or background");
+        return service_class::normal;
+    }
+    return static_cast<service_class>(found - class_names.begin());
+}
+
+team read_team(json::object_reader& reader)
+{
+    team t;
+    t.share = reader.real("share", least_share, most_share, 1.0);
+    t.upper_limit = static_cast<std::uint32_t>(
+        reader.number("upper_limit", {0, most_count}, default_team_limit));
+    return t;
+}
+
+service read_service(json::object_reader& reader)
+{
+    service s;
+    s.pool = pool_id{reader.name("pool")};
+    s.owner = team_id{reader.name("owner")};
+    s.cls = read_class(reader);
+    s.open = reader.flag("open", false);
+    s.repeatable = reader.flag("repeatable", false);
+    s.queue_limit = static_cast<std::uint32_t>(
+        reader.number("queue_limit", {0, most_count}, default_queue_limit));
+    s.timeout_ms = reader.number("timeout_ms", {1, hour_ms}, default_timeout_ms);
+    s.max_run_ms =
+        reader.number("max_run_ms", {1, hour_ms}, std::max(default_max_run_ms, s.timeout_ms));
+    s.when_cut_off_serve_for_s =
+        reader.number("when_cut_off_serve_for_s", {0, day_s}, default_cut_off_s);
+    return s;
+}
+
+pool read_pool(json::object_reader& reader)
+{
+    pool p;
+    p.least_servers =
+        static_cast<std::uint32_t>(reader.number("least_servers", {0, most_count}, 1));
+    p.availability_budget =
+        static_cast<std::uint32_t>(reader.number("availability_budget", {0, most_count}, 1));
+    p.spare = reader.flag("spare", false);
+    return p;
+}
+
+void check_references(const document& doc, json::faults& faults)
+{
+    for (const auto& [id, s] : doc.services) {
+        const std::string path = "services." + id.str();
+        if (!s.pool.empty() && !doc.pools.contains(s.pool)) {
+            faults.push_back({path + ".pool", "there is no pool '" + s.pool.str() + "'"});
+        }
+        if (!s.owner.empty() && !doc.teams.contains(s.owner)) {
+            faults.push_back({path + ".owner", "there is no team '" + s.owner.str() + "'"});
+        }
+    }
+    const auto spares =
+        std::ranges::count_if(doc.pools, [](const auto& p) { return p.second.spare; });
+    if (spares > 1) {
+        faults.push_back({"pools", "more than one pool is the spare pool"});
+    }
+}
+
+} // namespace
+
+bool document::in_service(const data_centre_id& id) const
+{
+    const auto found = data_centres.find(id);
+    return found == data_centres.end() || found->second.in_service;
+}
+
+parse_result parse(const std::string& text)
+{
+    json::faults faults;
+    const auto parsed = json::parse(text, faults);
+    if (!parsed) {
+        return faults;
+    }
+    document doc;
+    json::object_reader top{*parsed, "", faults};
+    top.each("teams", [&](const std::string& name, json::object_reader& reader) {
+        doc.teams[team_id{name}] = read_team(reader);
+    });
+    top.each("services", [&](const std::string& name, json::object_reader& reader) {
+        doc.services[service_id{name}] = read_service(reader);
+    });
+    top.each("pools", [&](const std::string& name, json::object_reader& reader) {
+        doc.pools[pool_id{name}] = read_pool(reader);
+    });
+    top.each("data_centres", [&](const std::string& name, json::object_reader& reader) {
+        doc.data_centres[data_centre_id{name}].in_service = reader.flag("in_service", true);
+    });
+    top.finish();
+    check_references(doc, faults);
+    if (!faults.empty()) {
+        return faults;
+    }
+    return doc;
+}
+
+std::string to_json(const document& doc)
+{
+    auto out = json::value_type::object();
+    for (const char* part : {"teams", "services", "pools", "data_centres"}) {
+        out[part] = json::value_type::object();
+    }
+    for (const auto& [id, t] : doc.teams) {
+        out["teams"][id.str()] = {{"share", t.share}, {"upper_limit", t.upper_limit}};
+    }
+    for (const auto& [id, s] : doc.services) {
+        out["services"][id.str()] = {{"pool", s.pool.str()},
+                                     {"owner", s.owner.str()},
+                                     {"class", class_names[static_cast<std::size_t>(s.cls)]},
+                                     {"open", s.open},
+                                     {"repeatable", s.repeatable},
+                                     {"queue_limit", s.queue_limit},
+                                     {"timeout_ms", s.timeout_ms},
+                                     {"max_run_ms", s.max_run_ms},
+                                     {"when_cut_off_serve_for_s", s.when_cut_off_serve_for_s}};
+    }
+    for (const auto& [id, p] : doc.pools) {
+        out["pools"][id.str()] = {{"least_servers", p.least_servers},
+                                  {"availability_budget", p.availability_budget},
+                                  {"spare", p.spare}};
+    }
+    for (const auto& [id, d] : doc.data_centres) {
+        out["data_centres"][id.str()] = {{"in_service", d.in_service}};
+    }
+    return out.dump();
+}
+
+} // namespace fescue::catalogue
--- /dev/null
+++ b/src/json/object_reader.cpp
@@ -0,0 +1,244 @@
+#include "fescuestream/json/object_reader.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescue::json {
+
+namespace {
+
+constexpr std::size_t longest_name = 64;
+
+std::string join(const std::string& path, const std::string& name)
+{
+    return path.empty() ? name : path + "." + name;
+}
+
+} // namespace
+
+bool is_name(const std::string& text) noexcept
+{
+    const auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && text.size() <= longest_name && std::ranges::all_of(text, allowed);
+}
+
+std::string to_text(const faults& all)
+{
+    std::string out;
+    for (const fault& f : all) {
+        if (!out.empty()) {
+            out += "; ";
+        }
+        out += (f.path.empty() ? "document" : f.path) + ": " + f.what;
+    }
+    return out;
+}
+
+std::optional<value_type> parse(const std::string& text, faults& out)
+{
+    std::vector<std::set<std::string>> open_objects;
+    std::vector<std::string> doubled;
+    const auto watch = [&](int /*depth*/, value_type::parse_event_t event, value_type& parsed) {
+        if (event == value_type::parse_event_t::object_start) {
+            open_objects.emplace_back();
+        } else if (event == value_type::parse_event_t::object_end) {
+            open_objects.pop_back();
+        } else if (event == value_type::parse_event_t::key &&
+                   !open_objects.back().insert(parsed.get<std::string>()).second) {
+            doubled.push_back(parsed.get<std::string>());
+        }
+        return true;
+    };
+    constexpr bool with_exceptions = true;
+    constexpr bool with_comments = true;
+    try {
+        auto parsed = value_type::parse(text, watch, with_exceptions, with_comments);
+        for (const std::string& name : doubled) {
+            out.push_back({name, "stands twice in one object"});
+        }
+        return parsed;
+    } catch (const value_type::exception& e) {
+        out.push_back({"", std::string{"not JSON: "} + e.what()});
+        return std::nullopt;
+    }
+}
+
+object_reader::object_reader(const value_type& object, std::string path, faults& out)
+    : object_{object}, path_{std::move(path)}, faults_{out}
+{
+    if (!object_.is_object()) {
+        faults_.push_back({path_, "must be an object"});
+    }
+}
+
+void object_reader::report(const std::string& name, std::string what)
+{
+    faults_.push_back({join(path_, name), std::move(what)});
+}
+
+const value_type* object_reader::find(const std::string& name)
+{
+    known_.insert(name);
+    if (!object_.is_object()) {
+        return nullptr;
+    }
+    const auto found = object_.find(name);
+    return found == object_.end() ? nullptr : &*found;
+}
+
+const value_type* object_reader::required(const std::string& name, bool has_fallback)
+{
+    const value_type* found = find(name);
+    if (found == nullptr && !has_fallback && object_.is_object()) {
+        report(name, "is required");
+    }
+    return found;
+}
+
+std::string object_reader::text(const std::string& name, std::optional<std::string> fallback)
+{
+    const value_type* found = required(name, fallback.has_value());
+    if (found == nullptr) {
+        return fallback.value_or("");
+    }
+    if (!found->is_string()) {
+        report(name, "must be text");
+        return {};
+    }
+    return found->get<std::string>();
+}
+
+std::string object_reader::name(const std::string& field, std::optional<std::string> fallback)
+{
+    const bool given = find(field) != nullptr;
+    std::string out = text(field, std::move(fallback));
+    if (given && !out.empty() && !is_name(out)) {
+        report(field, "'" + out + "' is not a name (1 to 64 letters, digits, '-', '_', '.')");
+    }
+    if (given && out.empty()) {
+        report(field, "must not be empty");
+    }
+    return out;
+}
+
+std::int64_t object_reader::number(const std::string& name, range allowed,
+                                   std::optional<std::int64_t> fallback)
+{
+    const value_type* found = required(name, fallback.has_value());
+    if (found == nullptr) {
+        return fallback.value_or(allowed.least);
+    }
+    const bool huge = found->is_number_unsigned() && found->get<std::uint64_t>() > INT64_MAX;
+    if (!found->is_number_integer() || huge || found->get<std::int64_t>() < allowed.least ||
+        found->get<std::int64_t>() > allowed.most) {
+        report(name, "must be a whole number from " + std::to_string(allowed.least) + " to " +
+                         std::to_string(allowed.most));
+        return allowed.least;
+    }
+    return found->get<std::int64_t>();
+}
+
+double object_reader::real(const std::string& name, double least, double most,
+                           std::optional<double> fallback)
+{
+    const value_type* found = required(name, fallback.has_value());
+    if (found == nullptr) {
+        return fallback.value_or(least);
+    }
+    if (!found->is_number() || found->get<double>() < least || found->get<double>() > most) {
+        report(name,
+               "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return least;
+    }
+    return found->get<double>();
+}
+
+bool object_reader::flag(const std::string& name, bool fallback)
+{
+    const value_type* found = find(name);
+    if (found == nullptr) {
+        return fallback;
+    }
+    if (!found->is_boolean()) {
+        report(name, "must be true or false");
+        return fallback;
+    }
+    return found->get<bool>();
+}
+
+std::vector<std::string> object_reader::texts(const std::string& name)
+{
+    std::vector<std::string> out;
+    const value_type* found = find(name);
+    if (found == nullptr) {
+        return out;
+    }
+    if (!found->is_array()) {
+        report(name, "must be an array of texts");
+        return out;
+    }
+    for (const value_type& element : *found) {
+        if (!element.is_string()) {
+            report(name, "must be an array of texts");
+            return out;
+        }
+        out.push_back(element.get<std::string>());
+    }
+    return out;
+}
+
+void object_reader::each(const std::string& name,
+                         const std::function<void(const std::string&, object_reader&)>& call)
+{
+    const value_type* found = find(name);
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_object()) {
+        report(name, "must be an object of objects by name");
+        return;
+    }
+    for (const auto& [member, content] : found->items()) {
+        if (!is_name(member)) {
+            report(name, "'" + member + "' is not a name (1 to 64 letters, digits, '-', '_', '.')");
+        }
+        object_reader inner{content, join(join(path_, name), member), faults_};
+        call(member, inner);
+        inner.finish();
+    }
+}
+
+void object_reader::each_element(const std::string& name,
+                                 const std::function<void(object_reader&)>& call)
+{
+    const value_type* found = find(name);
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_array()) {
+        report(name, "must be an array of objects");
+        return;
+    }
+    for (std::size_t i = 0; i < found->size(); ++i) {
+        object_reader inner{(*found)[i], join(path_, name) + "[" + std::to_string(i) + "]",
+                            faults_};
+        call(inner);
+        inner.finish();
+    }
+}
+
+void object_reader::finish()
+{
+    if (!object_.is_object()) {
+        return;
+    }
+    for (const auto& [member, content] : object_.items()) {
+        if (!known_.contains(member)) {
+            report(member, "is not a known field");
+        }
+    }
+}
+
+} // namespace fescue::json
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,57 @@
+#pragma once
+
+/**
+ * @file
+ * Counters and latency histograms of one instance, in the text form that scrapers read.
+ */
+
+#include "fescuestream/base/error.h"
+#include "fescuestream/base/ids.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fescue::node {
+
+/** Why work was sent once more. */
+enum class retry_reason : std::uint8_t {
+    not_connected,
+    server_refused,
+    answer_lost,
+    home_lost,
+    home_refused,
+    count_
+};
+
+std::string_view name_of(retry_reason reason) noexcept;
+
+enum class latency_kind : std::uint8_t { request, queue_wait, server, order_commit, count_ };
+
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void refused(error_kind kind) noexcept;
+    void retried(retry_reason reason) noexcept;
+    void count(std::string_view name, std::uint64_t by = 1);
+    void gauge(std::string_view name, double value);
+    void observe(latency_kind kind, mono_clock::duration took);
+    std::string render() const;
+
+private:
+    struct histograms;
+    std::array<std::uint64_t, static_cast<std::size_t>(error_kind::count_)> refusals_{};
+    std::array<std::uint64_t, static_cast<std::size_t>(retry_reason::count_)> retries_{};
+    std::map<std::string, std::uint64_t, std::less<>> counters_;
+    std::map<std::string, double, std::less<>> gauges_;
+    std::unique_ptr<histograms> histograms_;
+};
+
+} // namespace fescue::node
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,205 @@
+#include "fescuestream/settings/settings.h"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+namespace fescue::settings {
+
+namespace {
+
+constexpr mode_t others_may_read = S_IRWXG | S_IRWXO;
+
+std::optional<std::string> read_file(const std::string& file)
+{
+    std::ifstream in{file, std::ios::binary};
+    if (!in) {
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>{in}, {}};
+}
+
+http::endpoint read_endpoint(json::object_reader& reader, const std::string& field,
+                             const http::endpoint* fallback)
+{
+    if (fallback != nullptr && reader.find(field) == nullptr) {
+        return *fallback;
+    }
+    const std::string text = reader.text(field);
+    if (text.empty()) {
+        return {};
+    }
+    const auto parsed = http::parse_endpoint(text);
+    if (!ok(parsed)) {
+        reader.report(field, error_of(parsed).detail);
+        return {};
+    }
+    return value(parsed);
+}
+
+void read_listen(json::object_reader& top, listen_addresses& out, json::faults& faults)
+{
+    const json::value_type* found = top.find("listen");
+    if (found == nullptr) {
+        return;
+    }
+    json::object_reader reader{*found, "listen", faults};
+    out.callers = read_endpoint(reader, "callers", &out.callers);
+    out.control = read_endpoint(reader, "control", &out.control);
+    out.peers = read_endpoint(reader, "peers", &out.peers);
+    reader.finish();
+}
+
+void read_peers(json::object_reader& top, instance_settings& out)
+{
+    top.each_element("peers", [&](json::object_reader& reader) {
+        peer p;
+        p.id = instance_id{reader.name("id")};
+        p.data_centre = data_centre_id{reader.name("data_centre")};
+        p.address = read_endpoint(reader, "address", nullptr);
+        p.voter = reader.flag("voter", false);
+        out.peers.push_back(std::move(p));
+    });
+}
+
+std::string read_pem(json::object_reader& reader, const std::string& field)
+{
+    const std::string file = reader.text(field);
+    if (file.empty()) {
+        return {};
+    }
+    auto content = read_file(file);
+    if (!content) {
+        reader.report(field, "cannot read '" + file + "'");
+    }
+    return content.value_or("");
+}
+
+void read_tls(json::object_reader& top, instance_settings& out, json::faults& faults)
+{
+    const json::value_type* found = top.find("tls");
+    if (found == nullptr) {
+        return;
+    }
+    json::object_reader reader{*found, "tls", faults};
+    out.tls.certificate_pem = read_pem(reader, "certificate_file");
+    out.tls.key_pem = read_pem(reader, "key_file");
+    reader.finish();
+}
+
+void read_log_level(json::object_reader& top, instance_settings& out)
+{
+    const std::string text = top.text("log_level", "info");
+    if (!log::parse_level(text, out.log_level)) {
+        top.report("log_level", "must be debug, info, warning or error");
+    }
+}
+
+std::string read_secret_field(json::object_reader& top, const std::string& field,
+                              json::faults& faults)
+{
+    const std::string file = top.text(field, "");
+    return file.empty() ? std::string{} : read_secret(file, field, faults);
+}
+
+bool is_loopback(const http::endpoint& at)
+{
+    return at.ip.starts_with("127.");
+}
+
+void check_exposure(const instance_settings& s, json::faults& faults)
+{
+    const auto need = [&](const http::endpoint& at, const std::string& path, bool has,
+                          const std::string& field) {
+        if (!at.ip.empty() && !is_loopback(at) && !has) {
+            faults.push_back({path, "a non-loopback address needs " + field});
+        }
+    };
+    need(s.listen.peers, "listen.peers", !s.cluster_secret.empty(), "cluster_secret_file");
+    need(s.listen.control, "listen.control", !s.operator_token.empty(), "operator_token_file");
+    need(s.listen.callers, "listen.callers", !s.operator_token.empty(), "operator_token_file");
+}
+
+void check_peers(const instance_settings& s, json::faults& faults)
+{
+    std::set<std::string> ids{s.id.str()};
+    std::set<std::string> addresses;
+    bool any_voter = !s.data_folder.empty();
+    for (std::size_t i = 0; i < s.peers.size(); ++i) {
+        const peer& p = s.peers[i];
+        const std::string path = "peers[" + std::to_string(i) + "]";
+        if (!ids.insert(p.id.str()).second) {
+            faults.push_back({path + ".id", "'" + p.id.str() + "' stands twice"});
+        }
+        if (!addresses.insert(p.address.ip + ":" + std::to_string(p.address.port)).second) {
+            faults.push_back({path + ".address", "stands twice"});
+        }
+        any_voter = any_voter || p.voter;
+    }
+    if (!s.peers.empty() && !any_voter) {
+        faults.push_back({"peers", "no instance has a disk, so none could vote"});
+    }
+}
+
+} // namespace
+
+std::string read_secret(const std::string& file, const std::string& path, json::faults& out)
+{
+    struct stat info {};
+    if (stat(file.c_str(), &info) != 0) {
+        out.push_back({path, "cannot read '" + file + "'"});
+        return {};
+    }
+    if ((info.st_mode & others_may_read) != 0) {
+        out.push_back({path, "'" + file + "' can be read by others (use mode 0600)"});
+        return {};
+    }
+    std::string text = read_file(file).value_or("");
+    text.erase(std::find(text.begin(), text.end(), '\n'), text.end());
+    if (text.empty()) {
+        out.push_back({path, "'" + file + "' is empty"});
+    }
+    return text;
+}
+
+load_result parse(const std::string& text)
+{
+    json::faults faults;
+    const auto parsed = json::parse(text, faults);
+    if (!parsed) {
+        return faults;
+    }
+    instance_settings out;
+    json::object_reader top{*parsed, "", faults};
+    out.id = instance_id{top.name("id")};
+    out.data_centre = data_centre_id{top.name("data_centre")};
+    read_listen(top, out.listen, faults);
+    read_peers(top, out);
+    out.data_folder = top.text("data_folder", "");
+    out.cluster_secret = read_secret_field(top, "cluster_secret_file", faults);
+    out.operator_token = read_secret_field(top, "operator_token_file", faults);
+    out.server_token = read_secret_field(top, "server_token_file", faults);
+    read_tls(top, out, faults);
+    read_log_level(top, out);
+    top.finish();
+    check_exposure(out, faults);
+    check_peers(out, faults);
+    if (!faults.empty()) {
+        return faults;
+    }
+    return out;
+}
+
+load_result load(const std::string& file)
+{
+    const auto text = read_file(file);
+    if (!text) {
+        return json::faults{{"", "cannot read '" + file + "'"}};
+    }
+    return parse(*text);
+}
+
+} // namespace fescue::settings
--- /dev/null
+++ b/src/store/store.cpp
@@ -0,0 +1,387 @@
+#include "fescuestream/store/store.h"
+
+#include "fescuestream/base/codec.h"
+
+#include <boost/crc.hpp>
+#include <fcntl.h>
+#include <sodium.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+
+namespace fescue::store {
+
+namespace {
+
+constexpr std::uint32_t record_magic = 0x46534331; // "FSC1"
+constexpr mode_t owner_only = 0600;
+constexpr mode_t owner_only_folder = 0700;
+
+struct record_header {
+    std::uint32_t magic{record_magic};
+    std::uint32_t size{0};
+    std::uint32_t payload_crc{0};
+    std::uint32_t header_crc{0};
+};
+
+std::uint32_t crc_of(const void* data, std::size_t size)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(data, size);
+    return crc.checksum();
+}
+
+std::uint32_t header_crc_of(const record_header& header)
+{
+    return crc_of(&header, offsetof(record_header, header_crc));
+}
+
+/** One thing that a record tells. */
+struct truncation {
+    log_index from{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(from);
+    }
+};
+
+using item = std::variant<log_entry, truncation, hard_state, snapshot>;
+
+/** @return the payload of a whole record at the front of the bytes, or nothing. */
+std::optional<std::string_view> whole_record(std::string_view bytes)
+{
+    record_header header;
+    if (bytes.size() < sizeof header) {
+        return std::nullopt;
+    }
+    std::memcpy(&header, bytes.data(), sizeof header);
+    if (header.magic != record_magic || header.header_crc != header_crc_of(header) ||
+        header.size > bytes.size() - sizeof header) {
+        return std::nullopt;
+    }
+    const auto payload = bytes.substr(sizeof header, header.size);
+    if (crc_of(payload.data(), payload.size()) != header.payload_crc) {
+        return std::nullopt;
+    }
+    return payload;
+}
+
+bool any_record_in(std::string_view bytes)
+{
+    std::string magic(sizeof record_magic, '\0');
+    std::memcpy(magic.data(), &record_magic, sizeof record_magic);
+    for (auto at = bytes.find(magic); at != std::string_view::npos;
+         at = bytes.find(magic, at + 1)) {
+        if (whole_record(bytes.substr(at))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+class replayer {
+public:
+    explicit replayer(recovered& out) : out_{out} {}
+
+    void operator()(log_entry& entry)
+    {
+        const log_index next = last() + 1;
+        if (entry.index != next) {
+            gap_ = true;
+            return;
+        }
+        out_.entries.push_back(std::move(entry));
+    }
+    void operator()(const truncation& cut)
+    {
+        std::erase_if(out_.entries, [&](const log_entry& e) { return e.index >= cut.from; });
+    }
+    void operator()(const hard_state& hard) { out_.hard = hard; }
+    void operator()(snapshot& snap)
+    {
+        out_.entries.clear();
+        out_.snap = std::move(snap);
+    }
+    bool gap() const noexcept { return gap_; }
+
+private:
+    log_index last() const
+    {
+        if (!out_.entries.empty()) {
+            return out_.entries.back().index;
+        }
+        return out_.snap ? out_.snap->index : 0;
+    }
+
+    recovered& out_;
+    bool gap_{false};
+};
+
+error os_error(const std::string& what)
+{
+    return error{error_kind::internal, what + ": " + std::strerror(errno)};
+}
+
+bool write_all(int fd, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const ssize_t done = write(fd, bytes.data(), bytes.size());
+        if (done < 0 && errno == EINTR) {
+            continue;
+        }
+        if (done <= 0) {
+            return false;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(done));
+    }
+    return true;
+}
+
+status sync_folder(const std::string& folder)
+{
+    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) {
+        return os_error("cannot open '" + folder + "'");
+    }
+    const bool done = fsync(fd) == 0;
+    close(fd);
+    return done ? status{} : os_error("cannot sync '" + folder + "'");
+}
+
+/** Writes a file so that it holds either the old or the new content, whatever happens. */
+status replace_file(const std::string& folder, const std::string& name, std::string_view bytes)
+{
+    const std::string temporary = folder + "/" + name + ".new";
+    const std::string final_name = folder + "/" + name;
+    const int fd = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, owner_only);
+    if (fd < 0) {
+        return os_error("cannot write '" + temporary + "'");
+    }
+    const bool written = write_all(fd, bytes) && fsync(fd) == 0;
+    close(fd);
+    if (!written || rename(temporary.c_str(), final_name.c_str()) != 0) {
+        return os_error("cannot replace '" + final_name + "'");
+    }
+    return sync_folder(folder);
+}
+
+std::optional<std::string> read_file(const std::string& file)
+{
+    std::ifstream in{file, std::ios::binary};
+    if (!in) {
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>{in}, {}};
+}
+
+} // namespace
+
+std::string make_record(std::string_view payload)
+{
+    record_header header;
+    header.size = static_cast<std::uint32_t>(payload.size());
+    header.payload_crc = crc_of(payload.data(), payload.size());
+    header.header_crc = header_crc_of(header);
+    std::string out(sizeof header, '\0');
+    std::memcpy(out.data(), &header, sizeof header);
+    out.append(payload);
+    return out;
+}
+
+result<recovered> read_log(std::string_view bytes)
+{
+    recovered out;
+    replayer replay{out};
+    while (!bytes.empty()) {
+        const auto payload = whole_record(bytes);
+        if (!payload) {
+            if (any_record_in(bytes.substr(1))) {
+                return error{error_kind::corrupt_store, "damage before the log's last record"};
+            }
+            out.torn_bytes = bytes.size();
+            break;
+        }
+        auto items = from_bytes<std::vector<item>>(*payload);
+        if (!ok(items)) {
+            return error{error_kind::corrupt_store, "a record's content is not readable"};
+        }
+        for (item& i : value(items)) {
+            std::visit(replay, i);
+        }
+        if (replay.gap()) {
+            return error{error_kind::corrupt_store, "the log has a gap"};
+        }
+        bytes.remove_prefix(sizeof(record_header) + payload->size());
+    }
+    return out;
+}
+
+struct disk_store::impl {
+    std::string folder;
+    int lock_fd{-1};
+    int log_fd{-1};
+    incarnation life{0};
+    recovered found;
+    std::vector<item> pending;
+
+    impl() = default;
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    ~impl()
+    {
+        if (log_fd >= 0) {
+            close(log_fd);
+        }
+        if (lock_fd >= 0) {
+            close(lock_fd);
+        }
+    }
+
+    status lock()
+    {
+        if (mkdir(folder.c_str(), owner_only_folder) != 0 && errno != EEXIST) {
+            return os_error("cannot make '" + folder + "'");
+        }
+        const std::string file = folder + "/lock";
+        lock_fd = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, owner_only);
+        if (lock_fd < 0 || flock(lock_fd, LOCK_EX | LOCK_NB) != 0) {
+            return error{error_kind::internal, "'" + folder + "' is in use by another process"};
+        }
+        return std::nullopt;
+    }
+
+    status read_identity()
+    {
+        const auto text = read_file(folder + "/identity");
+        if (text && text->size() == sizeof life) {
+            std::memcpy(&life, text->data(), sizeof life);
+            return std::nullopt;
+        }
+        if (read_file(folder + "/log")) {
+            return error{error_kind::corrupt_store, "the folder has a log but no identity"};
+        }
+        randombytes_buf(&life, sizeof life);
+        std::string bytes(sizeof life, '\0');
+        std::memcpy(bytes.data(), &life, sizeof life);
+        return replace_file(folder, "identity", bytes);
+    }
+
+    status read_entries()
+    {
+        const std::string file = folder + "/log";
+        const std::string bytes = read_file(file).value_or("");
+        auto read = read_log(bytes);
+        if (!ok(read)) {
+            error e = error_of(read);
+            e.detail += " in '" + file +
+                        "'; move the folder away: the instance then comes back "
+                        "with an empty disk and catches up from the others";
+            return e;
+        }
+        found = std::move(value(read));
+        return open_log(bytes.size() - found.torn_bytes);
+    }
+
+    status open_log(std::size_t keep_bytes)
+    {
+        const std::string file = folder + "/log";
+        log_fd = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, owner_only);
+        if (log_fd < 0 || ftruncate(log_fd, static_cast<off_t>(keep_bytes)) != 0 ||
+            fsync(log_fd) != 0) {
+            return os_error("cannot open '" + file + "'");
+        }
+        return sync_folder(folder);
+    }
+};
+
+disk_store::disk_store(std::unique_ptr<impl> i) : impl_{std::move(i)} {}
+disk_store::disk_store(disk_store&&) noexcept = default;
+disk_store& disk_store::operator=(disk_store&&) noexcept = default;
+disk_store::~disk_store() = default;
+
+result<disk_store> disk_store::open(const std::string& folder)
+{
+    auto made = std::make_unique<impl>();
+    made->folder = folder;
+    if (auto fault = made->lock()) {
+        return *fault;
+    }
+    if (auto fault = made->read_identity()) {
+        return *fault;
+    }
+    if (auto fault = made->read_entries()) {
+        return *fault;
+    }
+    return disk_store{std::move(made)};
+}
+
+incarnation disk_store::disk_life() const noexcept
+{
+    return impl_->life;
+}
+
+recovered disk_store::take_recovered()
+{
+    return std::move(impl_->found);
+}
+
+void disk_store::append(const log_entry& entry)
+{
+    impl_->pending.emplace_back(entry);
+}
+
+void disk_store::truncate_from(log_index index)
+{
+    impl_->pending.emplace_back(truncation{index});
+}
+
+void disk_store::save_hard_state(const hard_state& hard)
+{
+    impl_->pending.emplace_back(hard);
+}
+
+bool disk_store::dirty() const noexcept
+{
+    return !impl_->pending.empty();
+}
+
+status disk_store::sync()
+{
+    if (impl_->pending.empty()) {
+        return std::nullopt;
+    }
+    const std::string record = make_record(to_bytes(impl_->pending));
+    impl_->pending.clear();
+    if (!write_all(impl_->log_fd, record) || fdatasync(impl_->log_fd) != 0) {
+        return os_error("cannot write the log");
+    }
+    return std::nullopt;
+}
+
+status disk_store::save_snapshot(const snapshot& snap, const hard_state& hard,
+                                 const std::vector<log_entry>& after)
+{
+    std::vector<item> items;
+    items.emplace_back(hard);
+    items.emplace_back(snap);
+    for (const log_entry& entry : after) {
+        items.emplace_back(entry);
+    }
+    const std::string bytes = make_record(to_bytes(items));
+    if (auto fault = replace_file(impl_->folder, "log", bytes)) {
+        return fault;
+    }
+    close(impl_->log_fd);
+    impl_->pending.clear();
+    return impl_->open_log(bytes.size());
+}
+
+} // namespace fescue::store
--- /dev/null
+++ b/src/wire/frame.cpp
@@ -0,0 +1,134 @@
+#include "fescuestream/wire/frame.h"
+
+#include <sodium.h>
+
+#include <cstring>
+
+namespace fescue::wire {
+
+namespace {
+
+using tag = std::array<unsigned char, tag_bytes>;
+
+const unsigned char* raw(std::string_view text)
+{
+    return reinterpret_cast<const unsigned char*>(text.data()); // NOLINT
+}
+
+tag tag_of(const frame_key& key, std::uint64_t sequence, std::string_view payload)
+{
+    crypto_generichash_state state;
+    tag out{};
+    crypto_generichash_init(&state, key.data(), key.size(), out.size());
+    crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(&sequence), // NOLINT
+                              sizeof sequence);
+    crypto_generichash_update(&state, raw(payload), payload.size());
+    crypto_generichash_final(&state, out.data(), out.size());
+    return out;
+}
+
+} // namespace
+
+void start_crypto()
+{
+    if (sodium_init() < 0) {
+        std::abort();
+    }
+}
+
+frame_key derive_key(std::string_view secret, std::string_view context)
+{
+    // The secret may have any length, so it is hashed to a key first.
+    frame_key master{};
+    crypto_generichash(master.data(), master.size(), raw(secret), secret.size(), nullptr, 0);
+    frame_key out{};
+    crypto_generichash(out.data(), out.size(), raw(context), context.size(), master.data(),
+                       master.size());
+    return out;
+}
+
+std::string random_bytes(std::size_t count)
+{
+    std::string out(count, '\0');
+    randombytes_buf(out.data(), out.size());
+    return out;
+}
+
+std::string frame_writer::write(std::string_view payload)
+{
+    const tag t = tag_of(key_, sequence_, payload);
+    ++sequence_;
+    const auto size = static_cast<std::uint32_t>(payload.size());
+    std::string out;
+    out.reserve(sizeof size + t.size() + payload.size());
+    out.append(reinterpret_cast<const char*>(&size), sizeof size); // NOLINT
+    out.append(reinterpret_cast<const char*>(t.data()), t.size()); // NOLINT
+    out.append(payload);
+    return out;
+}
+
+void frame_reader::append(std::string_view bytes)
+{
+    if (used_ > 0 && used_ == buffer_.size()) {
+        buffer_.clear();
+        used_ = 0;
+    }
+    buffer_.append(bytes);
+}
+
+result<std::optional<std::string>> frame_reader::next()
+{
+    std::uint32_t size = 0;
+    const std::string_view left = std::string_view{buffer_}.substr(used_);
+    if (left.size() < sizeof size + tag_bytes) {
+        return std::optional<std::string>{};
+    }
+    std::memcpy(&size, left.data(), sizeof size);
+    if (size > largest_frame) {
+        return error{error_kind::bad_request, "a frame is too large"};
+    }
+    const std::size_t whole = sizeof size + tag_bytes + size;
+    if (left.size() < whole) {
+        buffer_.erase(0, used_);
+        used_ = 0;
+        return std::optional<std::string>{};
+    }
+    const std::string_view payload = left.substr(sizeof size + tag_bytes, size);
+    const tag expected = tag_of(key_, sequence_, payload);
+    if (sodium_memcmp(expected.data(), left.data() + sizeof size, tag_bytes) != 0) {
+        return error{error_kind::bad_request, "a frame's keyed hash is wrong"};
+    }
+    ++sequence_;
+    std::string out{payload};
+    used_ += whole;
+    return std::optional{std::move(out)};
+}
+
+void frame_reader::rekey(const frame_key& key)
+{
+    key_ = key;
+    sequence_ = 0;
+}
+
+std::string seal_datagram(const frame_key& key, std::string_view payload)
+{
+    const tag t = tag_of(key, 0, payload);
+    std::string out{reinterpret_cast<const char*>(t.data()), t.size()}; // NOLINT
+    out.append(payload);
+    return out;
+}
+
+std::optional<std::string> open_datagram(const frame_key& key, std::string_view bytes)
+{
+    if (bytes.size() < tag_bytes) {
+        return std::nullopt;
+    }
+    const std::string_view payload = bytes.substr(tag_bytes);
+    const tag expected = tag_of(key, 0, payload);
+    if (sodium_memcmp(expected.data(), bytes.data(), tag_bytes) != 0) {
+        return std::nullopt;
+    }
+    return std::string{payload};
+}
+
+} // namespace fescue::wire
