Planner: pools follow demand, joint buffers, maintenance waves within budgets

Cause: servers were placed once and never moved, and a wave had no steps.

Change: a pure library (planner/engine) that is told what changed and answers with decisions and reasons; the leader feeds it from reports and puts its steps into the log, where epochs fence them. A move is drain, confirmed empty by the home under the drain's epoch, assign. A wave starts a stop only within the pool's budget, losses included, and pauses in a storm of losses.

Not there: the price of a move in money, jobs.

--- a/src/catalogue/state.cpp
+++ b/src/catalogue/state.cpp
@@ -181,6 +181,10 @@
             return refused(error_kind::conflict, "the server has left that phase");
         }
         server->second = wave_server{cmd.to, cmd.life};
+        if (const auto record = state_.servers.find(cmd.server); record != state_.servers.end()) {
+            // The home confirms the new epoch, so the leader knows that it starts nothing more.
+            ++record->second.epoch;
+        }
         return done();
     }
 
@@ -336,7 +340,7 @@
             record.moving_to.reset();
             break;
         case move_step::assign:
-            if (!record.pool.empty() && record.moving_to != cmd.to) {
+            if (state_.doc.pools.contains(record.pool) && record.moving_to != cmd.to) {
                 return refused(error_kind::conflict, "the server was not drained for that pool");
             }
             record.pool = cmd.to;
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -40,6 +40,12 @@
                        text(p, "servers"), text(p, "alive"), text(p, "slots"), text(p, "running"),
                        text(p, "availability_budget"), p.at("spare").get<bool>() ? "  spare" : "");
     }
+    const auto& b = status.at("buffers");
+    fmt::format_to(line,
+                   "\nbuffer: {} servers wanted, {} needed to survive a data centre (price {}), "
+                   "{} alive: {}\n",
+                   text(b, "wanted"), text(b, "needed_to_survive_a_data_centre"), text(b, "price"),
+                   text(b, "alive"), b.at("covered").get<bool>() ? "covered" : "not covered");
     fmt::format_to(line, "\n{:<16}{:>8}{:>9}{:>8}\n", "TEAM", "SHARE", "RUNNING", "LIMIT");
     for (const auto& t : status.at("teams")) {
         fmt::format_to(line, "{:<16}{:>8}{:>9}{:>8}\n", text(t, "id"), text(t, "share"),
--- a/src/node/api.cpp
+++ b/src/node/api.cpp
@@ -701,7 +701,6 @@
     json servers = json::array();
     std::map<pool_id, json> pools;
     for (const auto& [id, p] : state.doc.pools) {
-        const auto demand = leader_.demand().find(id);
         pools[id] = {{"id", id.str()},
                      {"servers", 0},
                      {"alive", 0},
@@ -710,7 +709,8 @@
                      {"spare", p.spare},
                      {"least_servers", p.least_servers},
                      {"availability_budget", p.availability_budget},
-                     {"demand", demand == leader_.demand().end() ? 0.0 : demand->second}};
+                     {"wanted", leader_.plans().wanted(id)},
+                     {"away", leader_.plans().away(id)}};
     }
     for (const auto& [id, s] : state.servers) {
         const auto use = leader_.use_of(id);
@@ -742,6 +742,14 @@
         out["pools"].push_back(std::move(p));
     }
     out["servers"] = servers;
+    const planner::buffer_view buffers = leader_.plans().buffers();
+    out["buffers"] = {{"wanted", buffers.wanted},
+                      {"alive", buffers.alive},
+                      {"needed_to_survive_a_data_centre", buffers.needed_for_data_centre},
+                      {"needed_to_survive_a_rack", buffers.needed_for_rack},
+                      {"price", buffers.price()},
+                      {"covered", buffers.covered()},
+                      {"storm", leader_.plans().in_storm(shared_.now())}};
     json waves = json::array();
     for (const auto& [id, w] : state.waves) {
         waves.push_back(json::parse(wave_json(id, w)));
--- a/src/node/leader.cpp
+++ b/src/node/leader.cpp
@@ -20,6 +20,7 @@
 /** A server's home must have lost its lease on the server before another takes over. */
 constexpr milliseconds stray_proof{3500};
 /** A server not heard by anyone for this long is forgotten. */
+constexpr milliseconds forget_server_after{600'000};
 constexpr std::size_t most_voters = 5;
 /** A learner counts as caught up within this many entries. */
 constexpr log_index caught_up_within = 64;
@@ -50,6 +51,9 @@
 {
     const mono_time now = shared_.now();
     reports_[from] = {report, now};
+    for (const wire::server_use& use : report.servers) {
+        uses_[use.id] = {use, now};
+    }
     for (const wire::announcement& info : report.strays) {
         const auto added = strays_.emplace(info.id, stray{info, now, now}).first;
         stray& s = added->second;
@@ -85,6 +89,8 @@
         led_since_ = now;
         proposed_.clear();
         orphan_since_.clear();
+        last_alive_.clear();
+        planner_ = planner::engine{};
     }
     if (now - last_round_ >= round_period) {
         last_round_ = now;
@@ -399,36 +405,122 @@
 
 // ---- pools
 
-void leader::plan_pools()
+planner::server_view leader::view_of(const catalogue::server_record& record) const
+{
+    const server_id& id = record.about.id;
+    planner::server_view view;
+    view.id = id;
+    view.data_centre = record.about.data_centre;
+    view.rack = record.about.rack;
+    view.pool = record.pool;
+    view.epoch = record.epoch;
+    view.moving_to = record.moving_to;
+    view.slots = record.about.slots;
+    view.phase = shared_.state().phase_of(id);
+    const auto known = uses_.find(id);
+    if (known == uses_.end() || shared_.now() - known->second.at > report_lease) {
+        return view;
+    }
+    const wire::server_use& use = known->second.use;
+    view.running = use.running;
+    view.alive = use.alive && !use.leaving && shared_.in_service(record.about.data_centre);
+    view.drained = use.running == 0 && use.epoch == record.epoch;
+    for (const auto& [wave, w] : shared_.state().waves) {
+        const auto told = w.servers.find(id);
+        if (told != w.servers.end() && told->second.phase == catalogue::wave_phase::may_stop) {
+            view.restarted = use.life != told->second.life;
+        }
+    }
+    return view;
+}
+
+void leader::feed_planner()
 {
     const auto& state = shared_.state();
-    demand_.clear();
+    const mono_time now = shared_.now();
+    std::map<pool_id, planner::pool_rule> rules;
+    for (const auto& [id, p] : state.doc.pools) {
+        rules[id] = {p.least_servers, p.availability_budget, p.spare};
+    }
+    planner_.configure(rules);
+    for (const auto& [id, record] : state.servers) {
+        planner_.upsert(view_of(record), now);
+    }
+    std::map<pool_id, double> demand;
     for (const auto& [id, r] : reports_) {
-        for (const wire::pool_demand& d : r.report.demand) {
-            demand_[d.pool] += d.running + d.queued;
+        if (reports_now(id)) {
+            for (const wire::pool_demand& d : r.report.demand) {
+                demand[d.pool] += d.running + d.queued;
+            }
         }
     }
-    if (state.doc.pools.empty()) {
-        return;
+    for (const auto& [pool, slots] : demand) {
+        planner_.demand(pool, slots, now);
     }
-    std::map<pool_id, std::uint32_t> sizes;
-    for (const auto& [id, s] : state.servers) {
-        ++sizes[s.pool];
+    for (const auto& [id, w] : state.waves) {
+        std::set<server_id> open;
+        for (const auto& [server, s] : w.servers) {
+            if (s.phase != catalogue::wave_phase::back) {
+                open.insert(server);
+            }
+        }
+        if (open.empty()) {
+            planner_.end_wave(id);
+        } else {
+            planner_.set_wave(id, open);
+        }
     }
-    for (const auto& [id, s] : state.servers) {
-        if (!s.pool.empty() && state.doc.pools.contains(s.pool)) {
-            continue;
+}
+
+void leader::act_on(const planner::decision& d)
+{
+    using catalogue::move_step;
+    const std::string subject = "server/" + d.server.str();
+    if (d.what == planner::action::wave_step) {
+        const auto known = uses_.find(d.server);
+        const auto phase = shared_.state().phase_of(d.server);
+        const incarnation life = known == uses_.end() ? 0 : known->second.use.life;
+        propose(catalogue::step_wave{
+            d.wave, d.server, phase.value_or(catalogue::wave_phase::waiting), d.phase, life});
+        shared_.decisions.note(subject, "maintenance: " + d.reason);
+        return;
+    }
+    const bool drain = d.what == planner::action::drain;
+    propose(catalogue::move_server{d.server, drain ? move_step::drain : move_step::assign, d.epoch,
+                                   d.to});
+    const std::string text =
+        (drain ? "drains for pool '" : "joins pool '") + d.to.str() + "': " + d.reason;
+    shared_.decisions.note(subject, text);
+    shared_.decisions.note("pool/" + d.to.str(), "server " + d.server.str() + " " + text);
+    shared_.counters.count(drain ? "moves" : "assignments");
+}
+
+void leader::forget_silent_servers()
+{
+    const mono_time now = shared_.now();
+    for (const auto& [id, record] : shared_.state().servers) {
+        const auto since = last_alive_.emplace(id, now).first;
+        const auto known = uses_.find(id);
+        if (known != uses_.end() && known->second.use.alive &&
+            now - known->second.at < report_lease) {
+            since->second = now;
         }
-        const auto next = std::ranges::min_element(state.doc.pools, {}, [&](const auto& p) {
-            const double least = std::max<std::uint32_t>(1, p.second.least_servers);
-            return sizes[p.first] / least;
-        });
-        ++sizes[next->first];
-        propose(catalogue::move_server{id, catalogue::move_step::assign, s.epoch, next->first});
-        shared_.decisions.note(
-            "server/" + id.str(),
-            fmt::format("assigned to pool '{}', the furthest below its least size",
-                        next->first.str()));
+        if (now - since->second > forget_server_after && !shared_.state().phase_of(id)) {
+            propose(catalogue::forget_server{id, record.epoch});
+            planner_.erase(id);
+        }
+    }
+}
+
+void leader::plan_pools()
+{
+    forget_silent_servers();
+    if (shared_.state().doc.pools.empty()) {
+        return;
+    }
+    feed_planner();
+    for (const planner::decision& d : planner_.step(shared_.now())) {
+        act_on(d);
     }
 }
 
@@ -493,14 +585,10 @@
 
 std::optional<wire::server_use> leader::use_of(const server_id& id) const
 {
-    for (const auto& [from, r] : reports_) {
-        for (const wire::server_use& use : r.report.servers) {
-            if (use.id == id && use.alive) {
-                return use;
-            }
-        }
-    }
-    return std::nullopt;
+    const auto known = uses_.find(id);
+    const bool alive = known != uses_.end() && known->second.use.alive &&
+                       shared_.now() - known->second.at < report_lease;
+    return alive ? std::optional{known->second.use} : std::nullopt;
 }
 
 std::uint32_t leader::running_of(const team_id& team) const
--- a/src/node/leader.h
+++ b/src/node/leader.h
@@ -10,6 +10,7 @@
 #include "context.h"
 
 #include "fescuestream/admission/allotment.h"
+#include "fescuestream/planner/engine.h"
 
 #include <map>
 #include <optional>
@@ -44,7 +45,7 @@
     /** @return the newest report on a server, from its home. */
     std::optional<wire::server_use> use_of(const server_id& id) const;
     std::uint32_t running_of(const team_id& team) const;
-    const std::map<pool_id, double>& demand() const noexcept { return demand_; }
+    const planner::engine& plans() const noexcept { return planner_; }
 
 private:
     struct reported {
@@ -59,6 +60,10 @@
     void plan_servers();
     void plan_homes();
     void plan_pools();
+    void feed_planner();
+    planner::server_view view_of(const catalogue::server_record& record) const;
+    void act_on(const planner::decision& d);
+    void forget_silent_servers();
     void plan_orphans();
     /** @return whether the shard's former home can start nothing there any more. */
     bool vacant_for_sure(const data_centre_id& dc, std::uint32_t shard,
@@ -82,7 +87,15 @@
         mono_time last{};
     };
     std::map<server_id, stray> strays_;
-    std::map<pool_id, double> demand_;
+    planner::engine planner_;
+    /** Last report on each server, from its home. */
+    struct server_report {
+        wire::server_use use;
+        mono_time at{};
+    };
+    std::map<server_id, server_report> uses_;
+    /** When a server was last known to be alive, as this leader saw it. */
+    std::map<server_id, mono_time> last_alive_;
     std::map<std::pair<instance_id, incarnation>, mono_time> orphan_since_;
     /** Epoch of an allotment that a change was proposed for, so that it is proposed once. */
     std::map<std::pair<team_id, instance_id>, epoch_number> proposed_;
