--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -20,9 +20,9 @@
 
 /** The log's intervals. */
 struct timing {
-    milliseconds heartbeat{100};
+    milliseconds heartbeat{200};
     /** An election starts between one and two of these after the leader was last heard. */
-    milliseconds election{500};
+    milliseconds election{600};
     /** How long an instance may act on what it knows after hearing from the leader. */
     milliseconds lease{3000};
 };
--- a/include/fescuestream/dispatch/router.h
+++ b/include/fescuestream/dispatch/router.h
@@ -16,12 +16,14 @@
 namespace fescue::dispatch {
 
 /** A load report older than this is not acted on. */
-inline constexpr milliseconds load_report_lease{1500};
+inline constexpr milliseconds load_report_lease{600};
 
 class router {
 public:
     void report(const instance_id& home, const wire::load_report& load, mono_time now);
     void forget(const instance_id& home);
+    /** @return homes whose reports stopped since the last call. */
+    std::vector<instance_id> newly_silent(mono_time now);
     /** One request went to the home since its last report. */
     void sent(const instance_id& home, const pool_id& pool);
 
@@ -43,6 +45,7 @@
     struct home_load {
         mono_time heard{};
         bool accepting{false};
+        bool silent{false};
         std::map<pool_id, wire::pool_load> pools;
         std::map<pool_id, std::map<team_id, std::uint32_t>> running;
         std::map<pool_id, std::uint32_t> sent;
--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -225,6 +225,8 @@
 
 /** A home's load, told to every instance. */
 struct load_report {
+    /** As the report before; nothing else is filled in. */
+    bool unchanged{false};
     bool accepting{false};
     std::vector<pool_load> pools;
     std::vector<team_running> teams;
@@ -232,7 +234,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(accepting, pools, teams);
+        archive(unchanged, accepting, pools, teams);
     }
 };
 
@@ -327,14 +329,14 @@
     instance_id from;
     incarnation life{0};
     std::uint64_t sequence{0};
-    /** Hears from the log's leader. */
-    bool has_leader{false};
+    /** What is left of its lease from the log's leader; 0: it has none. */
+    std::int64_t lease_left_ms{0};
     std::vector<instance_id> hears;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(from, life, sequence, has_leader, hears);
+        archive(from, life, sequence, lease_left_ms, hears);
     }
 };
 
--- a/include/fescuestream/wire/transport.h
+++ b/include/fescuestream/wire/transport.h
@@ -46,7 +46,7 @@
     /** Sends; a message to a peer that is not connected is dropped. @return whether it was taken.
      */
     bool send(const instance_id& to, const message& m);
-    void send_heartbeat(const heartbeat& beat);
+    void send_heartbeat(const heartbeat& beat, const std::vector<instance_id>& to);
     bool connected(const instance_id& to) const;
     /** @return bytes sent over TCP and UDP so far. */
     std::uint64_t bytes_sent() const noexcept;
--- a/src/admission/allotment.cpp
+++ b/src/admission/allotment.cpp
@@ -20,6 +20,7 @@
 
     std::uint32_t demand() const noexcept { return use.running + use.waiting; }
     bool blocked() const noexcept { return use.waiting > 0; }
+    bool idle() const noexcept { return use.waiting == 0 && use.running < held.cap; }
 };
 
 class team_plan {
@@ -122,20 +123,28 @@
         }
     }
 
+    /** Moving what is in use gains nothing, so it is asked for only where a place starves. */
     void ask_back()
     {
-        const bool short_of = std::ranges::any_of(all_, [](const candidate& c) {
-            return c.is_home && c.blocked() && c.held.cap < c.target;
-        });
-        const bool useless = std::ranges::any_of(
-            all_, [](const candidate& c) { return !c.is_home && c.held.cap > 0; });
-        if (!short_of && !useless) {
-            return;
+        std::uint32_t needed = 0;
+        bool starving = false;
+        for (const candidate& c : all_) {
+            if (c.is_home && c.blocked() && c.held.cap < c.target) {
+                needed += c.target - c.held.cap;
+                starving = starving || c.held.cap * 2 < c.target;
+            }
         }
         for (const candidate& c : all_) {
-            const bool wanted = short_of || !c.is_home;
-            if (!c.settled && wanted && c.held.cap > c.target) {
+            const bool above = !c.settled && c.held.cap > c.target;
+            if (above && !c.is_home) {
                 out_.asks.push_back({c.id, {team_, c.held.epoch, c.target}});
+            } else if (above && needed > 0 && (c.idle() || starving)) {
+                const std::uint32_t floor = starving ? c.target : std::max(c.target, c.use.running);
+                const std::uint32_t give = std::min(needed, c.held.cap - floor);
+                needed -= give;
+                if (give > 0) {
+                    out_.asks.push_back({c.id, {team_, c.held.epoch, c.held.cap - give}});
+                }
             }
         }
     }
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -106,7 +106,9 @@
                   double share) noexcept
 {
     const double weight = homes == 0 ? 1.0 : 1.0 / homes;
-    return (running_here + running_elsewhere * weight) / share;
+    // Half a slot more makes the rounding fair: without it a small share gains from each whole
+    // slot.
+    return (running_here + running_elsewhere * weight + 0.5) / share;
 }
 
 } // namespace fescue::admission
--- a/src/ctl/load.cpp
+++ b/src/ctl/load.cpp
@@ -21,7 +21,9 @@
     {
         started_ = loop_.now();
         ends_ = started_ + std::chrono::seconds{opts_.seconds};
-        pacer_ = loop_.every(milliseconds{1}, [this] { pace(); });
+        if (opts_.rate <= 0) {
+            pacer_ = loop_.every(milliseconds{1}, [this] { pace(); });
+        }
         pace();
         loop_.run();
         print();
@@ -35,6 +37,8 @@
         if (now >= ends_) {
             if (under_way_ == 0) {
                 loop_.stop();
+            } else if (opts_.rate > 0) {
+                loop_.soon([this] { pace(); });
             }
             return;
         }
@@ -43,6 +47,10 @@
         while (under_way_ < opts_.connections && (opts_.rate <= 0 || sent_ < due)) {
             send_one();
         }
+        if (opts_.rate > 0) {
+            // The loop's timers are a millisecond apart; looking each round sends evenly.
+            loop_.soon([this] { pace(); });
+        }
     }
 
     void send_one()
@@ -72,7 +80,7 @@
             ++answered_;
             took_us_.push_back(std::chrono::duration<double, std::micro>(loop_.now() - at).count());
         }
-        if (opts_.rate <= 0 || loop_.now() >= ends_) {
+        if (opts_.rate <= 0) {
             loop_.soon([this] { pace(); });
         }
     }
--- a/src/dispatch/router.cpp
+++ b/src/dispatch/router.cpp
@@ -4,6 +4,14 @@
 
 void router::report(const instance_id& home, const wire::load_report& load, mono_time now)
 {
+    if (load.unchanged) {
+        if (const auto known = homes_.find(home); known != homes_.end()) {
+            known->second.heard = now;
+            known->second.silent = false;
+            known->second.sent.clear();
+        }
+        return;
+    }
     home_load next;
     next.heard = now;
     next.accepting = load.accepting;
@@ -21,6 +29,18 @@
     homes_.erase(home);
 }
 
+std::vector<instance_id> router::newly_silent(mono_time now)
+{
+    std::vector<instance_id> out;
+    for (auto& [id, h] : homes_) {
+        if (!h.silent && now - h.heard > load_report_lease) {
+            h.silent = true;
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
 void router::sent(const instance_id& home, const pool_id& pool)
 {
     const auto found = homes_.find(home);
--- a/src/membership/serving_lease.cpp
+++ b/src/membership/serving_lease.cpp
@@ -33,8 +33,10 @@
 bool heartbeat_table::has_leader(const instance_id& id, mono_time now) const
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && now - found->second.at < heard_lease &&
-           found->second.last.has_leader;
+    if (found == entries_.end() || now - found->second.at >= heard_lease) {
+        return false;
+    }
+    return now < found->second.at + milliseconds{found->second.last.lease_left_ms};
 }
 
 std::vector<instance_id> heartbeat_table::all_heard(mono_time now) const
--- a/src/node/home.cpp
+++ b/src/node/home.cpp
@@ -312,6 +312,8 @@
 
 void home::release(const dispatch::ended_task& task)
 {
+    // What ends above the cap is free for others only once the leader knows.
+    newly_blocked_ = newly_blocked_ || ledger_.running(task.team) > ledger_.cap(task.team);
     ledger_.ended(task.team);
     --running_[task.pool][task.team];
 }
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -361,16 +361,34 @@
     refuse(m.id, m.kind, m.detail);
 }
 
-void ingress::home_lost(const instance_id& home)
+std::vector<request_id> ingress::requests_at(const instance_id& home) const
 {
-    shared_.router.forget(home);
-    std::vector<request_id> there;
+    std::vector<request_id> out;
     for (const auto& [id, p] : pending_) {
         if (p.home == home) {
-            there.push_back(id);
+            out.push_back(id);
         }
     }
-    for (const request_id& id : there) {
+    return out;
+}
+
+void ingress::home_silent(const instance_id& home)
+{
+    for (const request_id& id : requests_at(home)) {
+        pending& p = pending_.at(id);
+        const bool again = p.repeatable && p.attempts < most_attempts && budget_.spend();
+        // Work that may have run and may not be repeated waits: its answer may still come.
+        if (!p.may_have_run || again) {
+            p.ever_may_have_run = p.ever_may_have_run || p.may_have_run;
+            route_again(id, retry_reason::home_lost);
+        }
+    }
+}
+
+void ingress::home_lost(const instance_id& home)
+{
+    shared_.router.forget(home);
+    for (const request_id& id : requests_at(home)) {
         pending& p = pending_.at(id);
         if (!p.may_have_run) {
             route_again(id, retry_reason::home_lost);
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -31,6 +31,8 @@
     void received(const instance_id& from, wire::work_reply&& m);
     /** What was sent to this instance and not answered will not be answered any more. */
     void home_lost(const instance_id& home);
+    /** The home stopped reporting: what it has not started, or may run twice, goes elsewhere. */
+    void home_silent(const instance_id& home);
     /** Loads changed: requests that found no home look again. */
     void look_again();
     std::size_t open_requests() const noexcept { return pending_.size(); }
@@ -71,6 +73,7 @@
     void route_again(const request_id& id, retry_reason reason);
     void finish(const request_id& id, http::response&& answer);
     void refuse(const request_id& id, error_kind kind, const std::string& detail);
+    std::vector<request_id> requests_at(const instance_id& home) const;
     void free_claim(const pending& p);
     void sweep();
     request_id new_request_id();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "ingress.h"
 #include "leader.h"
 
+#include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
 #include "fescuestream/wire/frame.h"
 #include "fescuestream/wire/transport.h"
@@ -24,9 +25,11 @@
 constexpr milliseconds heartbeat_period{250};
 constexpr milliseconds housekeeping_period{10};
 constexpr milliseconds report_period{200};
+/** A report that says nothing new is sent this often. */
+constexpr milliseconds same_report_period{600};
 /** Least time between two reports when demand or a server calls for one. */
 constexpr milliseconds report_pause{3};
-constexpr milliseconds load_period{500};
+constexpr milliseconds load_period{200};
 constexpr milliseconds load_pause{20};
 /** A balancer needs about this long to notice that the instance is not ready. */
 constexpr milliseconds unready_grace{1000};
@@ -109,6 +112,10 @@
     mono_time last_report{};
     mono_time last_load{};
     std::string last_load_bytes;
+    /** Peers that have the present load report. */
+    std::set<instance_id> told_load;
+    std::string last_report_bytes;
+    mono_time last_whole_report{};
     mono_time cut_off_since{};
     mono_time shutdown_began{};
     bool resigned{false};
@@ -357,6 +364,7 @@
     {
         log::warning("peer_lost", {{"peer", who.str()}});
         lead->disconnected(who);
+        told_load.erase(who);
         // Not from inside a send: the caller may be in the middle of its own work.
         loop.soon([this, who] { entry->home_lost(who); });
     }
@@ -415,9 +423,13 @@
         b.from = settings.id;
         b.life = life;
         b.sequence = ++beat_sequence;
-        b.has_leader = loop.now() < control->replica().lease_until();
+        const auto left = control->replica().lease_until() - loop.now();
+        b.lease_left_ms =
+            std::clamp<std::int64_t>(std::chrono::duration_cast<milliseconds>(left).count(), 0,
+                                     control->replica().intervals().lease.count());
         b.hears = heartbeats.all_heard(loop.now());
-        transport->send_heartbeat(b);
+        // Only a data centre's own instances decide by whom they hear.
+        transport->send_heartbeat(b, neighbours);
     }
 
     void keep_house()
@@ -429,6 +441,9 @@
             report(now);
         }
         tell_load(now);
+        for (const instance_id& silent : router.newly_silent(now)) {
+            entry->home_silent(silent);
+        }
         if (shared->draining) {
             continue_shutdown(now);
         }
@@ -461,6 +476,12 @@
             }
         }
         const auto& leader_id = control->replica().leader();
+        const std::string bytes = leader_id.str() + to_bytes(r);
+        if (bytes == last_report_bytes && now - last_whole_report < same_report_period) {
+            return;
+        }
+        last_report_bytes = bytes;
+        last_whole_report = now;
         if (leader_id == settings.id) {
             lead->received(settings.id, r);
         } else if (!leader_id.empty()) {
@@ -474,22 +495,26 @@
             return;
         }
         const wire::load_report load = homes->load();
-        const std::string bytes = to_bytes_of(load);
-        if (bytes == last_load_bytes && now - last_load < load_period) {
+        const std::string bytes = to_bytes(load);
+        const bool unchanged = bytes == last_load_bytes;
+        if (unchanged && now - last_load < load_period) {
             return;
         }
         last_load = now;
         last_load_bytes = bytes;
+        wire::load_report same;
+        same.unchanged = true;
         for (const settings::peer& p : settings.peers) {
-            transport->send(p.id, load);
+            const bool knows = unchanged && told_load.contains(p.id);
+            if (transport->send(p.id, knows ? same : load)) {
+                told_load.insert(p.id);
+            }
         }
         router.report(settings.id, load, now);
         counters.gauge("control_bytes_sent", static_cast<double>(transport->bytes_sent()));
         counters.gauge("open_requests", static_cast<double>(entry->open_requests()));
     }
 
-    static std::string to_bytes_of(const wire::load_report& load);
-
     // ---- callers
 
     void call(http::exchange_id id, http::request&& in)
@@ -574,17 +599,6 @@
     }
 };
 
-} // namespace fescue::node
-
-#include "fescuestream/base/codec.h"
-
-namespace fescue::node {
-
-std::string instance::impl::to_bytes_of(const wire::load_report& load)
-{
-    return to_bytes(load);
-}
-
 instance::instance(event_loop& loop, settings::instance_settings settings)
     : impl_{std::make_unique<impl>(loop, std::move(settings))}
 {
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -425,10 +425,15 @@
     return true;
 }
 
-void transport::send_heartbeat(const heartbeat& beat)
+void transport::send_heartbeat(const heartbeat& beat, const std::vector<instance_id>& to)
 {
     const std::string datagram = seal_datagram(impl_->datagram_key, to_bytes(beat));
-    for (const auto& [id, address] : impl_->addresses) {
+    for (const instance_id& id : to) {
+        const auto known = impl_->addresses.find(id);
+        if (known == impl_->addresses.end()) {
+            continue;
+        }
+        const sockaddr_in& address = known->second;
         const ssize_t sent = sendto(impl_->udp.get(), datagram.data(), datagram.size(), 0,
                                     generic(address), sizeof address);
         impl_->bytes += sent > 0 ? static_cast<std::uint64_t>(sent) : 0;
--- a/tests/fakes/fake_server.cpp
+++ b/tests/fakes/fake_server.cpp
@@ -177,6 +177,11 @@
     {
         needs_run_ = false;
         MHD_run(daemon_);
+        MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+        if (MHD_get_timeout(daemon_, &wait_ms) == MHD_YES && wait_ms == 0) {
+            needs_run_ = true;
+            loop_.soon([] {});
+        }
     }
 
     void announce()
