--- a/include/fescuestream/catalogue/state.h
+++ b/include/fescuestream/catalogue/state.h
@@ -24,6 +24,9 @@
 inline constexpr std::size_t kept_claims = 20'000;
 /** Answers above this size are not kept beside their claim. */
 inline constexpr std::size_t largest_kept_answer = 256U << 10U;
+/** Bytes of kept answers in all; beyond it the oldest are forgotten, and a resend gets "unknown".
+ */
+inline constexpr std::size_t most_kept_answer_bytes = 48U << 20U;
 /** An ended claim is kept at least this long. */
 inline constexpr wall_ms claim_kept_for_ms = 24LL * 3600 * 1000;
 
@@ -195,6 +198,7 @@
     std::map<wave_id, wave> waves;
     std::map<claim_id, claim> claims;
     std::deque<claim_id> claim_age;
+    std::uint64_t kept_answer_bytes{0};
 
     /** @return what counts against a team's limit: allotments and what the ended ones hold. */
     std::uint32_t counted(const team_id& team) const;
@@ -207,7 +211,7 @@
     void serialize(Archive& archive)
     {
         archive(applied, catalogue_version, doc, keys, orders, order_age, members, allotments,
-                orphans, homes, servers, waves, claims, claim_age);
+                orphans, homes, servers, waves, claims, claim_age, kept_answer_bytes);
     }
 };
 
--- a/src/catalogue/state.cpp
+++ b/src/catalogue/state.cpp
@@ -228,10 +228,12 @@
             std::erase(state_.claim_age, cmd.id);
             return done();
         }
+        state_.kept_answer_bytes += cmd.body.size();
         kept.outcome = cmd.outcome;
         kept.status = cmd.status;
         kept.content_type = cmd.content_type;
         kept.body = cmd.body;
+        forget_oldest_answers();
         return done();
     }
 
@@ -351,6 +353,22 @@
         return done();
     }
 
+    /** A claim whose answer is forgotten still keeps its work from running again. */
+    void forget_oldest_answers()
+    {
+        for (const claim_id& id : state_.claim_age) {
+            if (state_.kept_answer_bytes <= most_kept_answer_bytes) {
+                return;
+            }
+            claim& old = state_.claims.at(id);
+            if (!old.body.empty()) {
+                state_.kept_answer_bytes -= old.body.size();
+                old.body = std::string{};
+                old.outcome = claim_outcome::unknown;
+            }
+        }
+    }
+
     void make_room_for_claim(wall_ms now)
     {
         while (!state_.claim_age.empty()) {
@@ -362,6 +380,7 @@
             if (!(expired && over) && !crowded) {
                 return;
             }
+            state_.kept_answer_bytes -= oldest->second.body.size();
             state_.claims.erase(oldest);
             state_.claim_age.pop_front();
         }
--- a/src/node/api.cpp
+++ b/src/node/api.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds spread_patience{500};
 constexpr std::int64_t most_count = 1'000'000'000;
 constexpr std::int64_t most_slots = 100'000;
+/** Instances named to a server, its own data centre's first. */
+constexpr std::ptrdiff_t most_entries = 8;
 
 struct split_path {
     std::string head;
@@ -372,6 +374,9 @@
         }
     }
     near.insert(near.end(), far.begin(), far.end());
+    if (std::ssize(near) > most_entries) {
+        near.erase(near.begin() + most_entries, near.end());
+    }
     out["entries"] = near;
     return out.dump();
 }
--- a/src/node/api.h
+++ b/src/node/api.h
@@ -38,6 +38,7 @@
     void received(const wire::control_reply& reply);
     /** Looks after calls and orders that wait. */
     void tick();
+    bool orders_spread() const noexcept { return !orders_.empty(); }
 
 private:
     using responder = std::function<void(http::response&&)>;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -456,6 +456,9 @@
             report(now);
             lead->tick();
         }
+        if (operators->orders_spread()) {
+            operators->tick();
+        }
     }
 
     void report(mono_time now)
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -129,6 +129,25 @@
     CHECK(apply(s, 13, begin_claim{second, request_id{"r4"}, 5, 100, 200}).claim_is_ours);
 }
 
+TEST_CASE("kept answers stay within their bound, and a forgotten one still claims its key")
+{
+    control_state s = small_state(1);
+    log_index index = 3;
+    const std::string body(largest_kept_answer, 'x');
+    const auto id = [](int n) { return claim_id{team_id{"north"}, std::to_string(n)}; };
+    for (int n = 0; n < 300; ++n) {
+        const request_id r{std::to_string(n)};
+        apply(s, ++index, begin_claim{id(n), r, 1, 100, 200});
+        apply(s, ++index, end_claim{id(n), r, claim_outcome::answered, 200, "", body});
+        REQUIRE(s.kept_answer_bytes <= most_kept_answer_bytes);
+    }
+    const auto first = apply(s, ++index, begin_claim{id(0), request_id{"again"}, 1, 100, 200});
+    CHECK_FALSE(first.claim_is_ours);
+    CHECK(first.found->outcome == claim_outcome::unknown);
+    const auto last = apply(s, ++index, begin_claim{id(299), request_id{"again"}, 1, 100, 200});
+    CHECK(last.found->body == body);
+}
+
 TEST_CASE("a state is the same after its bytes, and damaged bytes are refused")
 {
     control_state s = small_state(10);
