Tests: a restriction inside a cut, a frozen home under load, a leaving server that stays

The leaving server used to end as soon as it was idle, so work sent to it after it left could not be seen; it now stays three seconds, and the test looks for starts in that time.

--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -186,6 +186,42 @@
         invariants.check_answers(self, outcomes, history)
         invariants.check_limits(self, history, {"north": 40})
 
+    def test_restriction_given_inside_a_cut(self):
+        """It acts at once where it was given, and everywhere once the leader is back."""
+        f = self.fleet(relays=True)
+        group = [i for i in ALL if FOUR[i - 1] == "dc-1"]
+        other = f.key("north", at=2)
+        f.cut(group)
+        wait_for("the cut side to serve by itself", lambda: f.read("/v1/status", at=1) is None
+                 and call(f.callers(1), "GET", "/readyz")[0] == 200)
+        status, body = f.order("DELETE", f"/v1/keys/{other['id']}", at=1)
+        self.assertEqual((status, body["committed"], body["in_force_here"]), (202, False, True))
+        self.assertEqual(f.request(1, "quotes", other["key"])[0], 401)
+        self.assertEqual(f.request(1, "quotes", self.key["key"])[0], 200)
+        self.assertEqual(f.request(2, "quotes", other["key"])[0], 200, "the other side can't know yet")
+        f.relays.heal()
+        for i in ALL:
+            wait_for(f"the key refused at {i}", lambda i=i: f.request(i, "quotes", other["key"])[0] == 401)
+
+    def test_home_frozen_under_load(self):
+        """Frozen for 10 s and awake again, a home starts nothing twice and nothing over the limit."""
+        f = self.fleet(repeatable=False, run_ms=20, limit=12)
+        homes = {int(s["home"].split("-")[1]) for s in f.status()["servers"]}
+        victim = next(i for i in sorted(homes) if i != f.leader())
+        load = Load(f, "quotes", self.key["key"], [i for i in ALL if i != victim], threads=18)
+        time.sleep(1)
+        f.kill(victim, signal.SIGSTOP)
+        time.sleep(10)
+        f.instances[victim].send_signal(signal.SIGCONT)
+        time.sleep(4)
+        outcomes = load.stop()
+        history = f.history()
+        invariants.check_at_most_once(self, history)
+        invariants.check_answers(self, outcomes, history)
+        invariants.check_limits(self, history, {"north": 12})
+        late = [o for o in outcomes if o[0] > outcomes[-1][0] - 1]
+        self.assertEqual(invariants.refusals(late), {}, "not healed")
+
     def test_instance_cut_off_alone_stops(self):
         """With neighbours in its data centre, an instance cut off alone refuses within seconds."""
         f = self.fleet(relays=True)
@@ -272,13 +308,17 @@
         load = Load(f, "quotes", self.key["key"], [i for i in ALL if i != stopping], threads=18)
         time.sleep(0.5)
         f.servers["s0"].send_signal(signal.SIGTERM)
+        left = time.time()
         f.instances[stopping].send_signal(signal.SIGTERM)
         self.assertEqual(f.servers["s0"].wait(10), 0)
         self.assertEqual(f.instances[stopping].wait(20), 0)
         time.sleep(1)
         outcomes = load.stop()
         self.assertEqual(invariants.refusals(outcomes), {})
-        invariants.check_at_most_once(self, f.history())
+        history = f.history()
+        invariants.check_at_most_once(self, history)
+        late = [e for e in history if e.server == "s0" and e.kind == "start" and e.at > left + 1.5]
+        self.assertEqual(late, [], "a leaving server got new work")
 
     def test_graceful_stop_of_the_leader_cuts_nothing(self):
         f = self.fleet(repeatable=False, run_ms=30)
--- a/tests/fakes/fake_server.cpp
+++ b/tests/fakes/fake_server.cpp
@@ -32,6 +32,8 @@
 
 constexpr milliseconds announce_period{1000};
 constexpr milliseconds library_period{50};
+/** A leaving server stays this long, to see whether it still gets work. */
+constexpr milliseconds leaving_time{3000};
 
 struct options {
     std::string id;
@@ -165,8 +167,9 @@
     {
         leaving_ = true;
         announce();
-        leave_timer_ = loop_.every(milliseconds{100}, [this] {
-            if (running_.empty()) {
+        const auto until = loop_.now() + leaving_time;
+        leave_timer_ = loop_.every(milliseconds{100}, [this, until] {
+            if (running_.empty() && loop_.now() >= until) {
                 loop_.stop();
             }
         });
