--- a/src/node/api.cpp
+++ b/src/node/api.cpp
@@ -184,6 +184,17 @@
         hand_to(instance_id{id.substr(0, id.rfind('-'))}, std::move(call), respond);
         return;
     }
+    constexpr std::string_view explain_any = "/v1/explain/";
+    const bool elsewhere = !shared_.control.replica().is_leader();
+    if (starts(call.path, explain_any) && elsewhere) {
+        // The leader has its own decisions, this instance those about its requests.
+        const std::string subject = after(call.path, explain_any);
+        hand_on(std::move(call), [this, respond, subject](http::response&& r) {
+            r.body = merge_explained(r.body, shared_.decisions, subject);
+            respond(std::move(r));
+        });
+        return;
+    }
     hand_on(std::move(call), respond);
 }
 
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -411,6 +411,7 @@
         --parked_;
     }
     shared_.counters.observe(latency_kind::request, shared_.now() - p.arrived);
+    answer.headers.push_back({"Fescue-Request-Id", id.str()});
     callers_->respond(p.exchange, std::move(answer));
 }
 
@@ -425,9 +426,7 @@
     const std::string text = fmt::format("refused as {}: {}", name_of(kind), detail);
     shared_.decisions.note("request/" + id.str(), text);
     shared_.decisions.note("team/" + p.w.team.str(), "request " + id.str() + " " + text);
-    auto answer = refusal(kind, detail, maybe);
-    answer.headers.push_back({"Fescue-Request-Id", id.str()});
-    finish(id, std::move(answer));
+    finish(id, refusal(kind, detail, maybe));
 }
 
 void ingress::sweep()
--- a/src/node/views.cpp
+++ b/src/node/views.cpp
@@ -155,6 +155,22 @@
     return body.dump();
 }
 
+std::string merge_explained(const std::string& theirs, const decision_log& decisions,
+                            const std::string& subject)
+{
+    json body = json::parse(theirs, nullptr, false);
+    if (body.is_discarded() || !body.contains("decisions")) {
+        return theirs;
+    }
+    auto list = body["decisions"].get<std::vector<json>>();
+    for (const decision& d : decisions.about(subject)) {
+        list.push_back({{"at_ms", d.at}, {"text", d.text}});
+    }
+    std::ranges::stable_sort(list, {}, [](const json& d) { return d.at("at_ms").get<wall_ms>(); });
+    body["decisions"] = list;
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string explain_json(const decision_log& decisions, const std::string& subject)
 {
     json list = json::array();
--- a/tests/e2e/test_capacity.py
+++ b/tests/e2e/test_capacity.py
@@ -51,8 +51,14 @@
         invariants.check_one_pool(self, history)
         invariants.check_at_most_once(self, history)
         invariants.check_answers(self, outcomes, history)
-        sid = next(s["id"] for s in f.status()["servers"] if s["pool"] == "quotes" and s["epoch"] > 2)
-        self.assertEqual(f.read(f"/v1/explain/server/{sid}", at=f.leader())["subject"], f"server/{sid}")
+        late = f.request(6, "quotes", self.key, body="late", path="ms-300", headers={"Request-Timeout-Ms": "50"})
+        request = late[1]["Fescue-Request-Id"]
+        for subject in (f"request/{request}", "team/north"):
+            told = f.read(f"/v1/explain/{subject}", at=6)["decisions"]
+            self.assertTrue(any("outcome_unknown" in d["text"] for d in told), (subject, told))
+        told = [f.read(f"/v1/explain/server/{s['id']}", at=f.leader())["decisions"]
+                for s in f.status()["servers"]]
+        self.assertTrue(any("quotes" in d["text"] for each in told for d in each), told)
 
     def test_wave_reboots_everything_within_budget(self):
         f = self.fleet(servers=8, run_ms=20)
