Two proofs that could not fail now do: fresh connections, planned stop

Cause: the lost answer never met a used connection, and no caller stood at the stopping instance. Change: connections are warmed before the server vanishes; slow requests are under way through the instance that stops. On a scratch copy without the two mechanisms: 'b-vanish' started twice, and four callers got no answer; with them both cases pass.

--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -234,8 +234,11 @@
 
     def test_bad_answers_are_not_passed_on(self):
         """Crossed, cut and missing answers are 'unknown', never somebody's answer."""
-        f = self.fleet(repeatable=False)
-        for fault in ("crossed", "cut", "vanish"):
+        f = self.fleet(repeatable=False, servers=1)
+        for n in range(4):
+            self.assertEqual(f.request(1, "quotes", self.key["key"], body=f"warm-{n}")[0], 200)
+        # On a connection that was used before, the client library would send "vanish" again.
+        for fault in ("vanish", "crossed", "cut"):
             answer = f.request(1, "quotes", self.key["key"], body=f"b-{fault}", path=fault)
             self.assertEqual((answer[0], answer[1]["Fescue-Ran"]), (504, "unknown"), fault)
         answer = f.request(1, "quotes", self.key["key"], body="b-refuse", path="refuse")
@@ -309,9 +312,16 @@
         time.sleep(0.5)
         f.servers["s0"].send_signal(signal.SIGTERM)
         left = time.time()
+        through = []
+        slow = [threading.Thread(target=lambda n=n: through.append(f.request(
+            stopping, "quotes", self.key["key"], body=f"slow-{n}", path="ms-2500"))) for n in range(4)]
+        [s.start() for s in slow]
+        time.sleep(0.3)
         f.instances[stopping].send_signal(signal.SIGTERM)
         self.assertEqual(f.servers["s0"].wait(10), 0)
         self.assertEqual(f.instances[stopping].wait(20), 0)
+        [s.join() for s in slow]
+        self.assertEqual([a and a[0] for a in through], [200] * 4, "cut by a planned stop")
         time.sleep(1)
         outcomes = load.stop()
         self.assertEqual(invariants.refusals(outcomes), {})
