A cut before the first allotment: the test waits for one; dead code out

That refusal is right: a home without an allotment may start nothing. The test now waits until every home has one; what it checks is the same. Left over lines without effect in the client, the control port and the state are gone.

--- a/include/fescuestream/admission/fair_queue.h
+++ b/include/fescuestream/admission/fair_queue.h
@@ -45,7 +45,7 @@
     std::size_t size() const noexcept { return size_; }
     std::size_t waiting(const service_id& service) const;
     std::size_t waiting(const team_id& team) const;
-    /** @return items ahead of a new one of this team, if its turns are as frequent as others'. */
+    /** @return teams with something waiting. */
     std::vector<team_id> teams() const;
 
 private:
--- a/src/catalogue/state.cpp
+++ b/src/catalogue/state.cpp
@@ -116,10 +116,6 @@
         std::erase_if(state_.orphans, [&](const orphan& o) {
             return o.holder == cmd.holder && o.life == cmd.life;
         });
-        const auto holder = state_.members.find(cmd.holder);
-        if (holder != state_.members.end() && holder->second.life == cmd.life) {
-            return done();
-        }
         return done();
     }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -94,10 +94,8 @@
     if (code == CURLE_OK && (t.length_declared || has_no_body(t.out.status))) {
         return delivery::answered;
     }
-    curl_off_t connect_us = 0;
     long sent_bytes = 0;
     curl_easy_getinfo(t.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-    curl_easy_getinfo(t.easy, CURLINFO_PRETRANSFER_TIME_T, &connect_us);
     const bool nothing_left = code != CURLE_OK && sent_bytes == 0;
     return nothing_left ? delivery::not_sent : delivery::lost;
 }
--- a/src/node/api.cpp
+++ b/src/node/api.cpp
@@ -28,11 +28,6 @@
 /** Instances named to a server, its own data centre's first. */
 constexpr std::ptrdiff_t most_entries = 8;
 
-struct split_path {
-    std::string head;
-    std::string rest;
-};
-
 bool starts(const std::string& path, std::string_view prefix)
 {
     return path.starts_with(prefix);
--- a/tests/e2e/test_failures.py
+++ b/tests/e2e/test_failures.py
@@ -191,6 +191,9 @@
         f = self.fleet(relays=True)
         group = [i for i in ALL if FOUR[i - 1] == "dc-1"]
         other = f.key("north", at=2)
+        # A home that the leader never gave an allotment has nothing to serve from.
+        wait_for("an allotment at the cut side", lambda: all(
+            f.status()["teams"][0]["allotments"].get(s["home"], 0) > 0 for s in f.status()["servers"]))
         f.cut(group)
         wait_for("the cut side to serve by itself", lambda: f.read("/v1/status", at=1) is None
                  and call(f.callers(1), "GET", "/readyz")[0] == 200)
