One way to start a move, one list of decisions, one measure of memory

The planner kept a set of taken servers that its own counting had made needless, wrote the start of a move twice, looked for the spare pool twice and carried two members that nobody read; explanations listed decisions in two places; both benchmarks measured memory by themselves; the leader sorted its contacts twice for each message.

--- a/benchmark/parts_bench.cpp
+++ b/benchmark/parts_bench.cpp
@@ -3,6 +3,8 @@
  * Costs of single parts, for docs/PERFORMANCE.md and the slopes of docs/CAPACITY.md.
  */
 
+#include "measure.h"
+
 #include "fescuestream/admission/allotment.h"
 #include "fescuestream/admission/caller_key.h"
 #include "fescuestream/base/codec.h"
@@ -15,9 +17,9 @@
 
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 
 using namespace fescue;
+using benchmark::resident_mb;
 
 namespace {
 
@@ -31,15 +33,6 @@
     return std::chrono::duration<double, std::micro>(mono_clock::now() - began).count() / times;
 }
 
-double resident_mb()
-{
-    std::ifstream in{"/proc/self/statm"};
-    double total = 0;
-    double resident = 0;
-    in >> total >> resident;
-    return resident * 4096 / 1e6;
-}
-
 void frames()
 {
     const auto key = wire::derive_key("secret", "bench");
--- a/benchmark/planner_bench.cpp
+++ b/benchmark/planner_bench.cpp
@@ -5,13 +5,14 @@
  */
 
 #include "fakes/fake_fleet.h"
+#include "measure.h"
 
 #include <fmt/format.h>
 
-#include <fstream>
 #include <functional>
 
 using namespace fescue;
+using benchmark::resident_mb;
 using namespace fescue::planner;
 
 namespace {
@@ -127,15 +128,6 @@
     row("roll-out: most servers of a pool away", worst, 2, "servers");
 }
 
-double resident_mb()
-{
-    std::ifstream in{"/proc/self/statm"};
-    double total = 0;
-    double resident = 0;
-    in >> total >> resident;
-    return resident * 4096 / 1e6;
-}
-
 template <class F>
 double milliseconds_of(F&& f)
 {
--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -649,9 +649,9 @@
     m.commit = commit_;
     p.sent_commit = commit_;
     m.sent_at = internal::to_nanoseconds(now);
-    const bool contacted = quorum_contact() != mono_time{};
-    const auto age = std::max(mono_clock::duration::zero(), now - quorum_contact());
-    if (contacted && age < timing_.election * quorum_patience && p.probe != 0) {
+    const mono_time contact = quorum_contact();
+    const auto age = std::max(mono_clock::duration::zero(), now - contact);
+    if (contact != mono_time{} && age < timing_.election * quorum_patience && p.probe != 0) {
         // A follower's lease ends with the leader's own, so that a data centre that is cut off
         // together with the leader changes over as one.
         m.lease_echo = p.probe - std::chrono::duration_cast<std::chrono::nanoseconds>(age).count();
--- a/include/fescuestream/planner/engine.h
+++ b/include/fescuestream/planner/engine.h
@@ -138,7 +138,6 @@
     std::uint32_t away(const pool_id& pool) const;
     std::uint32_t wanted(const pool_id& pool) const;
     bool in_storm(mono_time now) const;
-    std::size_t servers() const noexcept { return servers_.size(); }
 
 private:
     using domain_counts = std::map<std::pair<data_centre_id, rack_id>, std::uint32_t>;
@@ -150,7 +149,6 @@
         domain_counts spread;
         std::map<data_centre_id, std::uint32_t> places;
         std::uint32_t usable{0};
-        std::uint64_t usable_slots{0};
         std::uint32_t incoming{0};
         /** Highest use of late, slowly falling. */
         double demand{0};
@@ -178,9 +176,9 @@
     void step_waves(std::vector<decision>& out, mono_time now);
     bool held(const std::optional<mono_time>& since, milliseconds hold, mono_time now) const;
     std::optional<pool_id> best_donor(const pool_id& receiver, mono_time now) const;
-    std::optional<server_id> choose(const pool_state& from, const pool_state* to,
-                                    const std::set<server_id>& taken) const;
-    pool_state* spare();
+    std::optional<server_id> choose(const pool_state& from, const pool_state& to) const;
+    void start_move(const server_id& id, const pool_id& to, std::string reason,
+                    std::vector<decision>& out, mono_time now);
 
     policy policy_;
     std::map<pool_id, pool_state> pools_;
--- a/src/node/views.cpp
+++ b/src/node/views.cpp
@@ -18,6 +18,15 @@
     return names[static_cast<std::size_t>(phase)];
 }
 
+json decisions_about(const decision_log& decisions, const std::string& subject)
+{
+    json out = json::array();
+    for (const decision& d : decisions.about(subject)) {
+        out.push_back({{"at_ms", d.at}, {"text", d.text}});
+    }
+    return out;
+}
+
 json instances_of(const context& shared, const leader& lead)
 {
     const auto& state = shared.state();
@@ -163,9 +172,8 @@
         return theirs;
     }
     auto list = body["decisions"].get<std::vector<json>>();
-    for (const decision& d : decisions.about(subject)) {
-        list.push_back({{"at_ms", d.at}, {"text", d.text}});
-    }
+    const auto ours = decisions_about(decisions, subject);
+    list.insert(list.end(), ours.begin(), ours.end());
     std::ranges::stable_sort(list, {}, [](const json& d) { return d.at("at_ms").get<wall_ms>(); });
     body["decisions"] = list;
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -173,12 +181,8 @@
 
 std::string explain_json(const decision_log& decisions, const std::string& subject)
 {
-    json list = json::array();
-    for (const decision& d : decisions.about(subject)) {
-        list.push_back({{"at_ms", d.at}, {"text", d.text}});
-    }
-    return json{{"subject", subject}, {"decisions", list}}.dump(-1, ' ', false,
-                                                                json::error_handler_t::replace);
+    return json{{"subject", subject}, {"decisions", decisions_about(decisions, subject)}}.dump(
+        -1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string status_json(const context& shared, const leader& lead)
--- a/src/planner/engine.cpp
+++ b/src/planner/engine.cpp
@@ -134,7 +134,6 @@
     }
     if (usable(s)) {
         p.usable = static_cast<std::uint32_t>(static_cast<int>(p.usable) + by);
-        p.usable_slots += static_cast<std::uint64_t>(static_cast<std::int64_t>(s.slots) * by);
         add(p.places, s.data_centre, by);
         add(p.spread, std::pair{s.data_centre, s.rack}, by);
     }
@@ -325,15 +324,11 @@
 
 void engine::follow(pool_state& p, mono_time now)
 {
-    const std::int64_t over = surplus(p);
-    const auto keep_since = [now](std::optional<mono_time>& since, bool holds) {
-        if (!holds) {
-            since.reset();
-        } else if (!since) {
-            since = now;
-        }
-    };
-    keep_since(p.over_since, over > 0);
+    if (surplus(p) <= 0) {
+        p.over_since.reset();
+    } else if (!p.over_since) {
+        p.over_since = now;
+    }
 }
 
 bool engine::held(const std::optional<mono_time>& since, milliseconds hold, mono_time now) const
@@ -341,13 +336,6 @@
     return since && now - *since >= hold;
 }
 
-engine::pool_state* engine::spare()
-{
-    const auto found =
-        std::ranges::find_if(pools_, [](const auto& p) { return p.second.rule.spare; });
-    return found == pools_.end() ? nullptr : &found->second;
-}
-
 void engine::finish_moves(std::vector<decision>& out)
 {
     for (const server_id& id : moving_) {
@@ -417,23 +405,21 @@
     return best == nullptr ? std::nullopt : std::optional{*best};
 }
 
-std::optional<server_id> engine::choose(const pool_state& from, const pool_state* to,
-                                        const std::set<server_id>& taken) const
+std::optional<server_id> engine::choose(const pool_state& from, const pool_state& to) const
 {
     const server_view* best = nullptr;
     std::tuple<std::int64_t, std::int64_t, std::uint32_t> best_rank;
     for (const server_id& id : from.members) {
         const server_view& s = servers_.at(id);
-        if (!usable(s) || taken.contains(id) || s.phase) {
+        if (!usable(s) || s.phase) {
             continue;
         }
         // Both pools end up more even over data centres, then racks; idle servers cost least.
         const std::pair rack{s.data_centre, s.rack};
-        const std::int64_t places =
-            std::int64_t{to == nullptr ? 0 : at_or_zero(to->places, s.data_centre)} -
-            at_or_zero(from.places, s.data_centre);
-        const std::int64_t racks = std::int64_t{to == nullptr ? 0 : at_or_zero(to->spread, rack)} -
-                                   at_or_zero(from.spread, rack);
+        const std::int64_t places = std::int64_t{at_or_zero(to.places, s.data_centre)} -
+                                    at_or_zero(from.places, s.data_centre);
+        const std::int64_t racks =
+            std::int64_t{at_or_zero(to.spread, rack)} - at_or_zero(from.spread, rack);
         const std::tuple rank{places, racks, s.running};
         if (best == nullptr || rank < best_rank) {
             best = &s;
@@ -443,65 +429,54 @@
     return best == nullptr ? std::nullopt : std::optional{best->id};
 }
 
+void engine::start_move(const server_id& id, const pool_id& to, std::string reason,
+                        std::vector<decision>& out, mono_time now)
+{
+    server_view next = servers_.at(id);
+    out.push_back({action::drain, id, next.epoch, next.pool, to, {}, {}, std::move(reason)});
+    // Counted at once, so that one step does not take more than is there.
+    next.moving_to = to;
+    upsert(next, now);
+}
+
 void engine::grow_pools(std::vector<decision>& out, mono_time now)
 {
-    std::set<server_id> taken;
     for (auto& [id, p] : pools_) {
         for (std::uint32_t n = 0; n < policy_.most_moves && shortage(p) > 0; ++n) {
             const auto donor = best_donor(id, now);
-            const auto server = donor ? choose(pools_.at(*donor), &p, taken) : std::nullopt;
+            const auto server = donor ? choose(pools_.at(*donor), p) : std::nullopt;
             if (!server) {
                 break;
             }
-            taken.insert(*server);
-            server_view next = servers_.at(*server);
-            out.push_back(
-                {action::drain,
-                 *server,
-                 next.epoch,
-                 *donor,
-                 id,
-                 {},
-                 {},
-                 fmt::format("pool '{}' wants {} servers and has {}; '{}' has {} over", id.str(),
-                             lasting_want(p, policy_.grow_hold), p.usable + p.incoming,
-                             donor->str(), surplus(pools_.at(*donor)))});
-            // Counted at once, so that one step does not take more than is there.
-            next.moving_to = id;
-            upsert(next, now);
+            start_move(*server, id,
+                       fmt::format("pool '{}' wants {} servers and has {}; '{}' has {} over",
+                                   id.str(), lasting_want(p, policy_.grow_hold),
+                                   p.usable + p.incoming, donor->str(), surplus(pools_.at(*donor))),
+                       out, now);
         }
     }
 }
 
 void engine::return_spares(std::vector<decision>& out, mono_time now)
 {
-    pool_state* home = spare();
-    if (home == nullptr) {
+    const auto spare =
+        std::ranges::find_if(pools_, [](const auto& p) { return p.second.rule.spare; });
+    if (spare == pools_.end()) {
         return;
     }
-    const auto spare_id =
-        std::ranges::find_if(pools_, [](const auto& p) { return p.second.rule.spare; })->first;
     for (auto& [id, p] : pools_) {
         if (p.rule.spare || !held(p.over_since, policy_.return_hold, now)) {
             continue;
         }
         for (std::uint32_t n = 0; n < policy_.most_moves && surplus(p) > 0; ++n) {
-            const auto server = choose(p, home, {});
+            const auto server = choose(p, spare->second);
             if (!server) {
                 break;
             }
-            server_view next = servers_.at(*server);
-            out.push_back({action::drain,
-                           *server,
-                           next.epoch,
-                           id,
-                           spare_id,
-                           {},
-                           {},
-                           fmt::format("pool '{}' has had more than its {} servers for long",
-                                       id.str(), wanted_of(p))});
-            next.moving_to = spare_id;
-            upsert(next, now);
+            start_move(*server, spare->first,
+                       fmt::format("pool '{}' has had more than its {} servers for long", id.str(),
+                                   wanted_of(p)),
+                       out, now);
         }
     }
 }
