--- a/apps/fescued.cpp
+++ b/apps/fescued.cpp
@@ -5,9 +5,13 @@
 
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/loop.h"
+#include "fescuestream/settings/job_service.h"
 #include "fescuestream/settings/settings.h"
 #include "fescuestream/wire/frame.h"
+#include "fleet/entry_instance.h"
+#include "fleet/scheduler_instance.h"
 #include "node/node.h"
+#include "platform.h"
 
 #include <fmt/format.h>
 #include <getopt.h>
@@ -72,6 +76,9 @@
             std::exit(exit_usage);
         }
     }
+    if (out.config.empty()) {
+        out.config = fescue::platform::settings_file().value_or("");
+    }
     if (out.config.empty() || optind != argc) {
         fmt::print(stderr, "{}", help);
         std::exit(exit_usage);
@@ -79,6 +86,41 @@
     return out;
 }
 
+template <class Instance>
+int run_jobs(fescue::event_loop& loop, Instance& instance, const std::string& name)
+{
+    if (const auto fault = instance.start()) {
+        fescue::log::failure("cannot_start", {{"instance", name}, {"why", fault->detail}});
+        return 1;
+    }
+    loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
+    loop.on_signal(SIGINT, [&] { instance.shut_down(); });
+    loop.run();
+    return 0;
+}
+
+/** An instance of the job service; settings that name a role ask for one. */
+int run(const fescue::settings::job_service_settings& settings)
+{
+    fescue::log::set_level(settings.log_level);
+    fescue::event_loop loop;
+    const fescue::fleet::protocol wire = fescue::platform::make_protocol();
+    const bool scheduler = settings.role == fescue::settings::job_role::scheduler;
+    fescue::log::info("started", {{"instance", settings.name},
+                                  {"address", settings.id.str()},
+                                  {"role", scheduler ? "scheduler" : "entry"},
+                                  {"data_centre", settings.data_centre.str()},
+                                  {"first_start", settings.first_start},
+                                  {"version", version}});
+    if (scheduler) {
+        fescue::fleet::scheduler_instance instance{loop, settings, wire};
+        const int code = run_jobs(loop, instance, settings.name);
+        return code != 0 ? code : instance.exit_status();
+    }
+    fescue::fleet::entry_instance instance{loop, settings, wire};
+    return run_jobs(loop, instance, settings.name);
+}
+
 int run(fescue::settings::instance_settings settings)
 {
     fescue::log::set_level(settings.log_level);
@@ -96,6 +138,14 @@
     return instance.exit_status();
 }
 
+int report(const std::string& file, const fescue::json::faults& faults)
+{
+    for (const auto& f : faults) {
+        fmt::print(stderr, "{}: {}\n", f.path.empty() ? file : f.path, f.what);
+    }
+    return exit_usage;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -103,12 +153,21 @@
     const options opts = read_options(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     fescue::wire::start_crypto();
+    const auto text = fescue::settings::read_text(opts.config);
+    if (text && fescue::settings::names_a_role(*text)) {
+        const auto read = fescue::settings::parse_job_service(*text);
+        if (const auto* faults = std::get_if<fescue::json::faults>(&read)) {
+            return report(opts.config, *faults);
+        }
+        if (opts.check) {
+            fmt::print("{}: ok\n", opts.config);
+            return 0;
+        }
+        return run(std::get<fescue::settings::job_service_settings>(read));
+    }
     auto loaded = fescue::settings::load(opts.config);
     if (const auto* faults = std::get_if<fescue::json::faults>(&loaded)) {
-        for (const auto& f : *faults) {
-            fmt::print(stderr, "{}: {}\n", f.path.empty() ? opts.config : f.path, f.what);
-        }
-        return exit_usage;
+        return report(opts.config, *faults);
     }
     if (opts.check) {
         fmt::print("{}: ok\n", opts.config);
--- a/include/fescuestream/base/ids.h
+++ b/include/fescuestream/base/ids.h
@@ -13,6 +13,8 @@
 #include <string>
 #include <utility>
 
+#include <ctime>
+
 namespace fescue {
 
 /** A name with a type of its own. @tparam Tag an empty struct that tells the names apart. */
@@ -62,8 +64,24 @@
 using epoch_number = std::uint64_t;
 
 using milliseconds = std::chrono::milliseconds;
-/** Monotonic clock; it goes on while the process is stopped by a signal. */
-using mono_clock = std::chrono::steady_clock;
+/**
+ * Monotonic clock that also counts the time in which the machine was suspended, so that a lease
+ * held across a suspension is seen to have ended.
+ */
+struct mono_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<mono_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept
+    {
+        timespec at{};
+        clock_gettime(CLOCK_BOOTTIME, &at);
+        return time_point{std::chrono::seconds{at.tv_sec} + std::chrono::nanoseconds{at.tv_nsec}};
+    }
+};
 using mono_time = mono_clock::time_point;
 
 /** Milliseconds since 1970 on the wall clock; used for expiry dates that survive a restart. */
--- a/src/node/metrics.h
+++ b/include/fescuestream/base/metrics.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <string_view>
 
-namespace fescue::node {
+namespace fescue {
 
 /** Why work was sent once more. */
 enum class retry_reason : std::uint8_t {
@@ -34,6 +34,14 @@
     queue_wait,
     server,
     order_commit,
+    /** From an order to a backend server to its answer. */
+    server_order,
+    /** From a call's arrival at an entry to its answer. */
+    entry_call,
+    /** From a job's arrival at the leader to its place in the log. */
+    job_accept,
+    /** From the moment when a task could start to its order. */
+    task_wait,
     number_of_kinds
 };
 
@@ -60,4 +68,4 @@
     std::unique_ptr<histograms> histograms_;
 };
 
-} // namespace fescue::node
+} // namespace fescue
--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -43,6 +43,7 @@
         }
     }
     synced_ = last_index();
+    no_vote_before_ = formed() ? now + timing_.election : now;
     reset_election_timer(now);
 }
 
@@ -305,8 +306,8 @@
     reply.pre_vote = m.pre_vote;
     reply.disk = disk_;
     const bool current = log_is_current(m.last_index, m.last_term);
-    const bool leader_is_near =
-        role_ == role::leader || (!leader_.empty() && now - leader_heard_ < timing_.election);
+    const bool leader_is_near = role_ == role::leader || now < no_vote_before_ ||
+                                (!leader_.empty() && now - leader_heard_ < timing_.election);
     if (m.pre_vote) {
         reply.term = m.term;
         reply.granted = m.term > hard_.term && current && !leader_is_near && disk_ != 0;
@@ -318,8 +319,8 @@
     }
     reply.term = hard_.term;
     const bool free_vote = hard_.voted_for.empty() || hard_.voted_for == from;
-    reply.granted =
-        m.term == hard_.term && current && free_vote && disk_ != 0 && role_ != role::leader;
+    reply.granted = m.term == hard_.term && current && free_vote && disk_ != 0 &&
+                    role_ != role::leader && !leader_is_near;
     if (reply.granted) {
         hard_.voted_for = from;
         store_.save_hard_state(hard_);
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -128,6 +128,14 @@
     mono_time lease_until() const;
     /** @return a leader that committed in its own term: its state is current. */
     bool settled() const noexcept { return is_leader() && commit_ >= first_of_term_; }
+    /**
+     * @return whether no other instance can lead now: a majority heard this leader within the time
+     * in which none of them votes. Reads that must be current need it.
+     */
+    bool surely_leads(mono_time now) const
+    {
+        return settled() && now - quorum_contact() < timing_.election;
+    }
     const std::map<instance_id, progress>& peers() const noexcept { return peers_; }
     /** @return whether the instance may still be acting on a lease that some leader renewed. */
     bool may_hold_lease(const instance_id& id, mono_time now) const;
@@ -175,6 +183,8 @@
     mono_time election_at_{};
     mono_time lease_until_{};
     mono_time led_since_{};
+    /** A restarted voter does not know whom it promised to hear: it keeps its vote until then. */
+    mono_time no_vote_before_{};
 
     /** Entries base_index_ + 1 and on. */
     std::vector<store::log_entry> entries_;
--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -31,6 +31,9 @@
     std::optional<std::string> if_match;
     std::optional<std::string> timeout_ms;
     std::string content_type;
+    std::string host;
+    /** Values of the headers that the server was told to keep, in that order. */
+    std::vector<std::optional<std::string>> kept;
 
     /** @return the token behind "Bearer ", or nothing. */
     std::optional<std::string> bearer() const;
@@ -78,6 +81,10 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    /** Names headers whose values requests carry in request::kept; called before listen(). */
+    void keep_headers(std::vector<std::string> names);
+    /** Connections end with their next answer, so that callers open new ones elsewhere. */
+    void close_after_answers();
     /** Starts listening. @return an error naming the address when it can't. */
     status listen(const endpoint& at, const tls_identity& tls);
     /** Answers an exchange; an id that has ended is ignored. */
--- /dev/null
+++ b/include/fescuestream/jobs/state.h
@@ -0,0 +1,187 @@
+#pragma once
+
+/**
+ * @file
+ * The replicated state of jobs, and the function that applies a command to it. No I/O, no clock.
+ */
+
+#include "fescuestream/base/error.h"
+#include "fescuestream/jobs/command.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fescue::jobs {
+
+enum class task_phase : std::uint8_t { waiting, running, done };
+
+struct task {
+    task_phase phase{task_phase::waiting};
+    /** Number of the newest run; the first is 1. */
+    std::uint32_t attempt{0};
+    std::uint32_t failed_runs{0};
+    /** Where the present run is, while running. */
+    server_id server;
+    incarnation life{0};
+    std::string checkpoint;
+
+    template <class Archive>
+    void save(Archive& archive) const
+    {
+        archive(static_cast<std::uint8_t>(phase), attempt, failed_runs, server, life, checkpoint);
+    }
+    template <class Archive>
+    void load(Archive& archive)
+    {
+        std::uint8_t raw = 0;
+        archive(raw, attempt, failed_runs, server, life, checkpoint);
+        phase = static_cast<task_phase>(raw);
+    }
+};
+
+struct step {
+    std::vector<task> tasks;
+    std::uint32_t done{0};
+    std::uint32_t running{0};
+
+    bool is_done() const noexcept { return done == tasks.size(); }
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(tasks, done, running);
+    }
+};
+
+struct occurrence {
+    std::vector<step> steps;
+
+    bool is_done() const noexcept;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(steps);
+    }
+};
+
+struct job {
+    queue_id queue;
+    /** As they were when the job was accepted. */
+    queue_terms terms;
+    team_id account;
+    /** Emptied once the job is over and nothing of it runs. */
+    job_spec spec;
+    job_phase phase{job_phase::pending};
+    wall_ms accepted_at{0};
+    wall_ms over_at{0};
+    std::map<std::uint32_t, occurrence> occurrences;
+    std::uint32_t occurrences_opened{0};
+    std::uint32_t occurrences_done{0};
+    std::uint32_t running{0};
+
+    /** @return whether all tasks of the steps before this one are done. */
+    bool may_start(const occurrence& o, std::size_t step) const;
+
+    template <class Archive>
+    void save(Archive& archive) const
+    {
+        archive(queue, terms, account, spec, static_cast<std::uint8_t>(phase), accepted_at, over_at,
+                occurrences, occurrences_opened, occurrences_done, running);
+    }
+    template <class Archive>
+    void load(Archive& archive)
+    {
+        std::uint8_t raw = 0;
+        archive(queue, terms, account, spec, raw, accepted_at, over_at, occurrences,
+                occurrences_opened, occurrences_done, running);
+        phase = static_cast<job_phase>(raw);
+    }
+};
+
+struct upkeep_machine {
+    bool begun{false};
+    bool done{false};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(begun, done);
+    }
+};
+
+/** A wave of machine maintenance. */
+struct upkeep_wave {
+    std::map<std::string, upkeep_machine> machines;
+    std::int64_t duration_ms{0};
+    std::uint32_t most_at_once{1};
+    wall_ms asked_at{0};
+
+    bool is_done() const;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(machines, duration_ms, most_at_once, asked_at);
+    }
+};
+
+/** Everything that the voters agree on. */
+struct state {
+    document doc;
+    std::set<data_centre_id> out_of_service;
+    std::map<job_id, job> jobs;
+    std::map<std::string, upkeep_wave> waves;
+
+    // Derived from the above; not part of a snapshot.
+    /** Jobs that are not over, or of which something still runs. */
+    std::set<job_id> live;
+    /** Runs by server. */
+    std::map<server_id, std::set<task_id>> runs;
+    /** What each account has running. */
+    std::map<team_id, resources> in_use;
+
+    /** @return the task, or nullptr when it is not known. */
+    const task* find(const task_id& id) const;
+    const step_spec* spec_of(const task_id& id) const;
+    /** @return the queue's terms now, or the job's own when the queue is gone. */
+    const queue_terms& terms_of(const job& j) const;
+    /** Works out what is derived. */
+    void index();
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(doc, out_of_service, jobs, waves);
+    }
+};
+
+/** What a command came to, for whoever proposed it. */
+struct outcome {
+    std::optional<error> refused;
+    /** Whether the state changed. */
+    bool changed{false};
+};
+
+/** Applies one command. */
+outcome apply(state& s, const command& cmd);
+
+/** The job log as a state machine, for replication. */
+struct machine {
+    using state_type = state;
+    using command_type = command;
+    using outcome_type = outcome;
+
+    static std::string encode(const command& cmd);
+    static result<command> decode(const std::string& bytes);
+    static std::string encode_state(const state& s);
+    static result<state> decode_state(const std::string& bytes);
+    static outcome apply(state& s, log_index index, const command& cmd);
+    static command filler() { return no_change{}; }
+};
+
+} // namespace fescue::jobs
--- a/src/node/control_plane.cpp
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -1,66 +1,67 @@
-#include "control_plane.h"
+#pragma once
 
 #include "fescuestream/base/log.h"
+#include "fescuestream/replication/replicated.h"
 
 #include <sodium.h>
 
-namespace fescue::node {
+namespace fescue::replication {
 
-namespace {
+namespace internal {
 
-constexpr milliseconds tick_period{20};
-constexpr milliseconds retry_period{400};
-constexpr std::size_t kept_results = 8192;
-/** Entries after which the log is replaced by a snapshot. */
-constexpr log_index entries_per_snapshot = 8192;
+inline constexpr milliseconds tick_period{20};
+inline constexpr milliseconds retry_period{400};
+/** Outcomes kept for proposals whose place in the log is told after they were applied. */
+inline constexpr std::size_t kept_results = 8192;
 
-std::uint64_t random_seed()
+inline std::uint64_t random_seed()
 {
     std::uint64_t seed = 0;
     randombytes_buf(&seed, sizeof seed);
     return seed;
 }
 
-wire::message to_wire(const consensus::message& m)
+inline wire::message to_wire(const consensus::message& m)
 {
     return std::visit([](const auto& body) { return wire::message{body}; }, m);
 }
 
-} // namespace
+} // namespace internal
 
-control_plane::control_plane(event_loop& loop, instance_id self, incarnation disk, any_store store,
-                             store::recovered found, control_events events)
-    : loop_{loop}, self_{self}, events_{std::move(events)}, replica_{std::move(self),
-                                                                     disk,
-                                                                     std::move(store),
-                                                                     std::move(found),
-                                                                     catalogue::encode(
-                                                                         catalogue::no_operation{}),
-                                                                     consensus::timing{},
-                                                                     random_seed(),
-                                                                     loop.now()}
+template <state_machine M>
+replicated<M>::replicated(event_loop& loop, instance_id self, incarnation disk, any_store store,
+                          store::recovered found, replicated_events<M> events,
+                          snapshot_policy policy)
+    : loop_{loop}, self_{self}, events_{std::move(events)}, policy_{policy},
+      replica_{std::move(self),         disk,
+               std::move(store),        std::move(found),
+               M::encode(M::filler()),  consensus::timing{},
+               internal::random_seed(), loop.now()}
 {
-    ticker_ = loop_.every(tick_period, [this] { tick(); });
+    ticker_ = loop_.every(internal::tick_period, [this] { tick(); });
     loop_.at_round_end([this] { flush(); });
 }
 
-void control_plane::propose(catalogue::command cmd, milliseconds patience, callback done)
+template <state_machine M>
+void replicated<M>::propose(command_type cmd, milliseconds patience, callback done)
 {
     const std::uint64_t number = next_number_++;
     proposal p;
-    p.bytes = catalogue::encode(cmd);
+    p.bytes = M::encode(cmd);
     p.done = std::move(done);
     p.give_up = loop_.now() + patience;
     auto& kept = proposals_.emplace(number, std::move(p)).first->second;
     try_proposal(number, kept, loop_.now());
 }
 
-void control_plane::propose_here(const catalogue::command& cmd)
+template <state_machine M>
+bool replicated<M>::propose_here(const command_type& cmd)
 {
-    replica_.propose(catalogue::encode(cmd));
+    return replica_.propose(M::encode(cmd)).has_value();
 }
 
-void control_plane::try_proposal(std::uint64_t number, proposal& p, mono_time now)
+template <state_machine M>
+void replicated<M>::try_proposal(std::uint64_t number, proposal& p, mono_time now)
 {
     p.last_try = now;
     if (const auto index = replica_.propose(p.bytes)) {
@@ -73,13 +74,15 @@
     }
 }
 
-bool control_plane::needs_retry(const proposal& p, mono_time now) const
+template <state_machine M>
+bool replicated<M>::needs_retry(const proposal& p, mono_time now) const
 {
     const bool placed = p.index > replica_.applied();
-    return now - p.last_try > (placed ? retry_period * 4 : retry_period);
+    return now - p.last_try > (placed ? internal::retry_period * 4 : internal::retry_period);
 }
 
-void control_plane::tick()
+template <state_machine M>
+void replicated<M>::tick()
 {
     const mono_time now = loop_.now();
     replica_.tick(now);
@@ -97,15 +100,16 @@
     compact_if_long();
 }
 
-void control_plane::flush()
+template <state_machine M>
+void replicated<M>::flush()
 {
     const consensus::outputs out{
         [this](const instance_id& to, const consensus::message& m) {
-            events_.send(to, to_wire(m));
+            events_.send(to, internal::to_wire(m));
         },
         [this](const store::log_entry& entry) { apply_entry(entry); },
         [this](const store::snapshot& snap) {
-            auto read = catalogue::decode_state(snap.state);
+            auto read = M::decode_state(snap.state);
             if (!ok(read)) {
                 events_.failed(error_of(read));
                 return;
@@ -120,17 +124,19 @@
     }
 }
 
-void control_plane::apply_entry(const store::log_entry& entry)
+template <state_machine M>
+void replicated<M>::apply_entry(const store::log_entry& entry)
 {
-    const auto cmd = catalogue::decode(entry.bytes);
+    const auto cmd = M::decode(entry.bytes);
     if (!ok(cmd)) {
         events_.failed(error_of(cmd));
         return;
     }
-    const auto outcome = catalogue::apply(state_, entry.index, value(cmd));
+    const auto outcome = M::apply(state_, entry.index, value(cmd));
     ++applied_count_;
+    bytes_since_snapshot_ += entry.bytes.size();
     recent_.push_back({entry.index, entry.term, outcome});
-    if (recent_.size() > kept_results) {
+    if (recent_.size() > internal::kept_results) {
         recent_.pop_front();
     }
     events_.applied(value(cmd), outcome);
@@ -145,7 +151,8 @@
     }
 }
 
-void control_plane::settle(std::uint64_t number, log_index index, term_number term)
+template <state_machine M>
+void replicated<M>::settle(std::uint64_t number, log_index index, term_number term)
 {
     const auto found = proposals_.find(number);
     if (found == proposals_.end() || recent_.empty() || index < recent_.front().index) {
@@ -165,7 +172,8 @@
     }
 }
 
-void control_plane::finish(std::uint64_t number, const apply_outcome& outcome)
+template <state_machine M>
+void replicated<M>::finish(std::uint64_t number, const result<outcome_type>& outcome)
 {
     auto node = proposals_.extract(number);
     if (!node.empty() && node.mapped().done) {
@@ -173,12 +181,14 @@
     }
 }
 
-void control_plane::received(const instance_id& from, const consensus::message& m)
+template <state_machine M>
+void replicated<M>::received(const instance_id& from, const consensus::message& m)
 {
     replica_.step(from, m, loop_.now());
 }
 
-void control_plane::received(const instance_id& from, const wire::propose_request& m)
+template <state_machine M>
+void replicated<M>::received(const instance_id& from, const wire::propose_request& m)
 {
     wire::propose_reply reply;
     reply.number = m.number;
@@ -189,7 +199,8 @@
     events_.send(from, reply);
 }
 
-void control_plane::received(const instance_id& /*from*/, const wire::propose_reply& m)
+template <state_machine M>
+void replicated<M>::received(const instance_id& /*from*/, const wire::propose_reply& m)
 {
     const auto found = proposals_.find(m.number);
     if (found == proposals_.end() || !m.accepted) {
@@ -202,14 +213,17 @@
     }
 }
 
-void control_plane::compact_if_long()
+template <state_machine M>
+void replicated<M>::compact_if_long()
 {
-    if (replica_.applied() < replica_.snapshot_index() + entries_per_snapshot) {
+    const bool long_log = replica_.applied() >= replica_.snapshot_index() + policy_.entries;
+    if (!long_log && bytes_since_snapshot_ < policy_.bytes) {
         return;
     }
-    if (const auto fault = replica_.compact(catalogue::encode_state(state_))) {
+    bytes_since_snapshot_ = 0;
+    if (const auto fault = replica_.compact(M::encode_state(state_))) {
         events_.failed(*fault);
     }
 }
 
-} // namespace fescue::node
+} // namespace fescue::replication
--- /dev/null
+++ b/include/fescuestream/scheduler/placement.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/**
+ * @file
+ * Which server a task starts on.
+ *
+ * Load pattern: bursts of short tasks beside few tasks that last. Short tasks go where most room
+ * is, so that a lost server takes little work along; lasting tasks go together on servers that
+ * have some already, apart from each other where the step asks for it, so that the other servers
+ * of the pool can be moved or maintained without touching them.
+ */
+
+#include "fescuestream/jobs/model.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace fescue::scheduler {
+
+/** A server that may take work. */
+struct candidate {
+    server_id id;
+    /** Its life; orders name it. */
+    incarnation life{0};
+    data_centre_id data_centre;
+    rack_id rack;
+    std::vector<std::string> labels;
+    jobs::resources free;
+    jobs::resources capacity;
+    /** Lasting tasks on it. */
+    std::uint32_t lasting_tasks{0};
+    /** Whether one of them must answer within a limit; fillers disturb it. */
+    bool serves{false};
+    /** 0: sound; higher: it did worse than its peers of late. */
+    std::uint32_t demerits{0};
+    /** It gets single trial tasks only. */
+    bool on_trial{false};
+};
+
+/** What matters besides the step's own wishes. */
+struct placement_hints {
+    /** Tasks of the step by server, for most_per_server. */
+    const std::vector<std::pair<server_id, std::uint32_t>>* step_on_server{nullptr};
+    /** Rack that the step's other tasks use; empty: none do yet. */
+    rack_id step_rack;
+    /** A server on which the task has just failed; others are preferred. */
+    server_id avoid;
+    /** The job can wait for a server on its data's rack. */
+    bool may_wait_for_rack{false};
+};
+
+/** @return whether the server may run the step at all, room aside. */
+bool may_run(const candidate& c, const jobs::step_spec& step, const placement_hints& hints);
+/** @return the position of the best server with room, or nothing. */
+std::optional<std::size_t> choose(std::span<const candidate> servers, const jobs::step_spec& step,
+                                  const placement_hints& hints);
+
+} // namespace fescue::scheduler
--- a/include/fescuestream/settings/settings.h
+++ b/include/fescuestream/settings/settings.h
@@ -51,6 +51,8 @@
 
 /** Reads settings from text. Secret files are read too, relative to the working folder. */
 load_result parse(const std::string& text);
+/** @return a file's text, or nothing when it can't be read. */
+std::optional<std::string> read_text(const std::string& file);
 /** Reads settings from a file. */
 load_result load(const std::string& file);
 /** Reads a secret file: first line, owner-readable only. Faults are reported under @p path. */
--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -318,11 +318,81 @@
     }
 };
 
+/** A call that another instance took and the leader answers. */
+struct forwarded_call {
+    enum class origin_kind : std::uint8_t { caller, control };
+
+    std::uint64_t number{0};
+    origin_kind origin{origin_kind::caller};
+    std::string method;
+    std::string host;
+    std::string path;
+    std::string key;
+    std::string body;
+
+    template <class Archive>
+    void save(Archive& archive) const
+    {
+        archive(number, static_cast<std::uint8_t>(origin), method, host, path, key, body);
+    }
+    template <class Archive>
+    void load(Archive& archive)
+    {
+        std::uint8_t raw = 0;
+        archive(number, raw, method, host, path, key, body);
+        origin = raw == 0 ? origin_kind::caller : origin_kind::control;
+    }
+};
+
+struct forwarded_reply {
+    std::uint64_t number{0};
+    /** 0: this instance does not lead; the call was not looked at. */
+    int status{0};
+    std::string body;
+    /** When the caller should come back; 0: nothing is said. */
+    std::int64_t retry_after_ms{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, status, body, retry_after_ms);
+    }
+};
+
+/** Keeps a connection's silence from being taken for a fault; tells what the sender knows. */
+struct ping {
+    /** Whom the sender takes for the leader, and since which term; empty: nobody. */
+    instance_id leader;
+    term_number term{0};
+    /** Instances with disks that the sender knows. */
+    std::vector<instance_id> schedulers;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(leader, term, schedulers);
+    }
+};
+
+/** What backend servers said of themselves, passed on by the leader so that any instance that
+ * follows it knows them at once. */
+struct server_reports {
+    /** Encoded jobs::server_report values. */
+    std::vector<std::string> reports;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(reports);
+    }
+};
+
 using message =
     std::variant<hello, consensus::append_request, consensus::append_reply, consensus::vote_request,
                  consensus::vote_reply, consensus::install_snapshot, propose_request, propose_reply,
                  control_call, control_reply, work, work_queued, start_ask, start_answer,
-                 work_reply, announcement, load_report, instance_report, release_ask>;
+                 work_reply, announcement, load_report, instance_report, release_ask,
+                 forwarded_call, forwarded_reply, ping, server_reports>;
 
 /** Datagram between instances: who is alive, and whom it hears. */
 struct heartbeat {
--- a/include/fescuestream/wire/transport.h
+++ b/include/fescuestream/wire/transport.h
@@ -31,6 +31,9 @@
     /** The connection to the peer is up; the peer's hello says who it is now. */
     std::function<void(const hello&)> connected;
     std::function<void(const instance_id&)> disconnected;
+    /** A sender that is not known yet showed the secret. @return whether it may stay; the owner
+     * adds it as a peer first. Not set: such senders are refused. */
+    std::function<bool(const hello&)> introduced;
 };
 
 class transport {
@@ -48,6 +51,17 @@
     bool send(const instance_id& to, const message& m);
     void send_heartbeat(const heartbeat& beat, const std::vector<instance_id>& to);
     bool connected(const instance_id& to) const;
+    /** Adds an instance to connect to; one that is known keeps its address. */
+    void add_peer(const peer_address& peer);
+    /** Ends the connection and forgets the instance. */
+    void remove_peer(const instance_id& id);
+    /**
+     * Makes a connection anew when its peer was not heard for so long, or when it does not come
+     * up in that time. The owner sends a ping to each peer a few times in that span.
+     */
+    void supervise(milliseconds silence);
+    /** @return the instances that are known, connected or not. */
+    std::vector<instance_id> known_peers() const;
     /** @return bytes sent over TCP and UDP so far. */
     std::uint64_t bytes_sent() const noexcept;
 
--- a/src/node/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -1,11 +1,11 @@
-#include "metrics.h"
+#include "fescuestream/base/metrics.h"
 
 #include <boost/histogram.hpp>
 #include <fmt/format.h>
 
 #include <vector>
 
-namespace fescue::node {
+namespace fescue {
 
 namespace {
 
@@ -20,8 +20,9 @@
 
 constexpr std::array<std::string_view, 5> retry_names{"not_connected", "server_refused",
                                                       "answer_lost", "home_lost", "home_refused"};
-constexpr std::array<std::string_view, 4> latency_names{"request", "queue_wait", "server",
-                                                        "order_commit"};
+constexpr std::array<std::string_view, 8> latency_names{
+    "request",      "queue_wait", "server",     "order_commit",
+    "server_order", "entry_call", "job_accept", "task_wait"};
 
 } // namespace
 
@@ -79,7 +80,7 @@
     fmt::format_to(line, "# TYPE fescue_refusals_total counter\n");
     for (std::size_t i = 0; i < refusals_.size(); ++i) {
         fmt::format_to(line, "fescue_refusals_total{{kind=\"{}\"}} {}\n",
-                       fescue::name_of(static_cast<error_kind>(i)), refusals_[i]);
+                       name_of(static_cast<error_kind>(i)), refusals_[i]);
     }
     fmt::format_to(line, "# TYPE fescue_retries_total counter\n");
     for (std::size_t i = 0; i < retries_.size(); ++i) {
@@ -108,4 +109,4 @@
     return out;
 }
 
-} // namespace fescue::node
+} // namespace fescue
--- /dev/null
+++ b/src/fleet/core_context.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/**
+ * @file
+ * What the parts of a scheduler instance share.
+ */
+
+#include "fescuestream/base/metrics.h"
+#include "protocol.h"
+
+#include "fescuestream/base/loop.h"
+#include "fescuestream/base/metrics.h"
+#include "fescuestream/http/client.h"
+#include "fescuestream/jobs/state.h"
+#include "fescuestream/replication/replicated.h"
+#include "fescuestream/settings/job_service.h"
+
+namespace fescue::fleet {
+
+using job_log = replication::replicated<jobs::machine>;
+
+struct core_context {
+    event_loop& loop;
+    const settings::job_service_settings& settings;
+    const protocol& wire;
+    http::client& client;
+    job_log& log;
+    metrics& counters;
+
+    mono_time now() const noexcept { return loop.now(); }
+    const jobs::state& state() const noexcept { return log.state(); }
+    term_number fence() const noexcept { return log.replica().term(); }
+    /** @return whether orders may be given and current reads answered right now. */
+    bool leads() const { return log.replica().surely_leads(loop.now()); }
+};
+
+} // namespace fescue::fleet
--- /dev/null
+++ b/src/fleet/server_view.cpp
@@ -0,0 +1,43 @@
+#include "server_view.h"
+
+namespace fescue::fleet {
+
+namespace {
+
+std::int64_t slow_ms_between(mono_time from, mono_time to) noexcept
+{
+    const auto passed = std::chrono::duration_cast<milliseconds>(to - from).count();
+    return static_cast<std::int64_t>(static_cast<double>(passed) * slowest_clock);
+}
+
+} // namespace
+
+void server_clock::read(std::int64_t clock_ms, mono_time came_at) noexcept
+{
+    const auto known = at_least(came_at);
+    if (!known || clock_ms > *known) {
+        reading_ = reading{clock_ms, came_at};
+    }
+}
+
+std::optional<std::int64_t> server_clock::at_least(mono_time now) const noexcept
+{
+    if (!reading_) {
+        return std::nullopt;
+    }
+    return reading_->clock_ms + slow_ms_between(reading_->came_at, now);
+}
+
+bool server_view::lease_surely_over(mono_time now) const noexcept
+{
+    if (now < inherited_lease_over) {
+        return false;
+    }
+    if (lease_end_ms == 0) {
+        return true;
+    }
+    const auto shows = clock.at_least(now);
+    return shows && *shows > lease_end_ms;
+}
+
+} // namespace fescue::fleet
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -75,6 +75,8 @@
     exchange_id next_id{1};
     std::unordered_map<exchange_id, exchange*> open;
     bool needs_run{false};
+    bool closing{false};
+    std::vector<std::string> kept_names;
 
     explicit impl(event_loop& l, handler h) : loop{l}, on_request{std::move(h)} {}
 
@@ -105,6 +107,10 @@
         made->in.if_match = header_of(connection, "If-Match");
         made->in.timeout_ms = header_of(connection, "Request-Timeout-Ms");
         made->in.content_type = header_of(connection, "Content-Type").value_or("");
+        made->in.host = header_of(connection, "Host").value_or("");
+        for (const std::string& name : kept_names) {
+            made->in.kept.push_back(header_of(connection, name.c_str()));
+        }
         *context = made.release();
         return MHD_YES;
     }
@@ -120,7 +126,7 @@
         return MHD_YES;
     }
 
-    static MHD_Result send_answer(MHD_Connection* connection, response& out)
+    MHD_Result send_answer(MHD_Connection* connection, response& out) const
     {
         MHD_Response* answer = MHD_create_response_from_buffer(out.body.size(), out.body.data(),
                                                                MHD_RESPMEM_MUST_COPY);
@@ -128,6 +134,9 @@
         for (const header& h : out.headers) {
             MHD_add_response_header(answer, h.name.c_str(), h.value.c_str());
         }
+        if (closing) {
+            MHD_add_response_header(answer, "Connection", "close");
+        }
         const auto sent = MHD_queue_response(connection, static_cast<unsigned>(out.status), answer);
         MHD_destroy_response(answer);
         return sent;
@@ -253,6 +262,16 @@
     }
 }
 
+void server::keep_headers(std::vector<std::string> names)
+{
+    impl_->kept_names = std::move(names);
+}
+
+void server::close_after_answers()
+{
+    impl_->closing = true;
+}
+
 std::size_t server::open_exchanges() const noexcept
 {
     return impl_->open.size();
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -7,7 +7,7 @@
 
 #include "control_plane.h"
 #include "decisions.h"
-#include "metrics.h"
+#include "fescuestream/base/metrics.h"
 
 #include "fescuestream/base/loop.h"
 #include "fescuestream/dispatch/router.h"
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,30 +50,6 @@
     return out;
 }
 
-struct opened_disk {
-    any_store store;
-    incarnation life{0};
-    fescue::store::recovered found;
-};
-
-result<opened_disk> open_disk(const std::string& folder)
-{
-    if (folder.empty()) {
-        return opened_disk{any_store{fescue::store::memory_store{}}, 0, {}};
-    }
-    auto disk = fescue::store::disk_store::open(folder);
-    if (!ok(disk)) {
-        return error_of(disk);
-    }
-    auto& opened = value(disk);
-    auto found = opened.take_recovered();
-    const incarnation life = opened.disk_life();
-    if (found.torn_bytes > 0) {
-        log::warning("torn_tail_cut", {{"bytes", found.torn_bytes}});
-    }
-    return opened_disk{any_store{std::move(opened)}, life, std::move(found)};
-}
-
 std::uint64_t random_number()
 {
     std::uint64_t out = 0;
@@ -130,7 +106,7 @@
 
     status start()
     {
-        auto opened = open_disk(settings.data_folder);
+        auto opened = replication::open_disk(settings.data_folder);
         if (!ok(opened)) {
             return error_of(opened);
         }
@@ -314,6 +290,12 @@
     }
 
     void take(const instance_id& /*from*/, wire::hello&& /*m*/) {}
+    /** Messages of the job service, which other instances speak. */
+    template <class M>
+    void take(const instance_id& from, M&& /*other*/)
+    {
+        log::warning("message_unexpected", {{"peer", from.str()}});
+    }
     void take(const instance_id& from, consensus::append_request&& m) { step(from, std::move(m)); }
     void take(const instance_id& from, consensus::append_reply&& m) { step(from, m); }
     void take(const instance_id& from, consensus::vote_request&& m) { step(from, m); }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -13,15 +13,6 @@
 
 constexpr mode_t others_may_read = S_IRWXG | S_IRWXO;
 
-std::optional<std::string> read_file(const std::string& file)
-{
-    std::ifstream in{file, std::ios::binary};
-    if (!in) {
-        return std::nullopt;
-    }
-    return std::string{std::istreambuf_iterator<char>{in}, {}};
-}
-
 http::endpoint read_endpoint(json::object_reader& reader, const std::string& field,
                              const http::endpoint* fallback)
 {
@@ -71,7 +62,7 @@
     if (file.empty()) {
         return {};
     }
-    auto content = read_file(file);
+    auto content = read_text(file);
     if (!content) {
         reader.report(field, "cannot read '" + file + "'");
     }
@@ -146,6 +137,15 @@
 
 } // namespace
 
+std::optional<std::string> read_text(const std::string& file)
+{
+    std::ifstream in{file, std::ios::binary};
+    if (!in) {
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>{in}, {}};
+}
+
 std::string read_secret(const std::string& file, const std::string& path, json::faults& out)
 {
     struct stat info {};
@@ -157,7 +157,7 @@
         out.push_back({path, "'" + file + "' can be read by others (use mode 0600)"});
         return {};
     }
-    std::string text = read_file(file).value_or("");
+    std::string text = read_text(file).value_or("");
     text.erase(std::find(text.begin(), text.end(), '\n'), text.end());
     if (text.empty()) {
         out.push_back({path, "'" + file + "' is empty"});
@@ -195,7 +195,7 @@
 
 load_result load(const std::string& file)
 {
-    const auto text = read_file(file);
+    const auto text = read_text(file);
     if (!text) {
         return json::faults{{"", "cannot read '" + file + "'"}};
     }
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -247,8 +248,13 @@
 
     status lock()
     {
-        if (mkdir(folder.c_str(), owner_only_folder) != 0 && errno != EEXIST) {
-            return os_error("cannot make '" + folder + "'");
+        std::error_code fault;
+        const bool made = std::filesystem::create_directories(folder, fault);
+        if (fault) {
+            return error{error_kind::internal, "cannot make '" + folder + "': " + fault.message()};
+        }
+        if (made && chmod(folder.c_str(), owner_only_folder) != 0) {
+            return os_error("cannot protect '" + folder + "'");
         }
         const std::string file = folder + "/lock";
         lock_fd = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, owner_only);
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -94,6 +94,7 @@
     frame_reader reader;
     bool ready{false};
     bool wants_write{false};
+    mono_time begun{};
 
     explicit outgoing(const frame_key& key) : reader{key} {}
 };
@@ -127,6 +128,10 @@
     std::map<instance_id, std::unique_ptr<outgoing>> out;
     std::unordered_map<int, std::unique_ptr<incoming>> in;
     std::uint64_t bytes{0};
+    /** When each peer was last heard, over its own connection. */
+    std::map<instance_id, mono_time> heard_at;
+    /** 0: connections are not supervised. */
+    milliseconds silence{0};
 
     impl(event_loop& l, std::string s, http::endpoint at, transport_events e)
         : loop{l}, secret{std::move(s)}, listen{std::move(at)}, events{std::move(e)},
@@ -146,6 +151,7 @@
 
     void connect_missing()
     {
+        drop_silent();
         for (const auto& [id, address] : addresses) {
             if (!out.contains(id)) {
                 connect_to(id, address);
@@ -153,6 +159,27 @@
         }
     }
 
+    void drop_silent()
+    {
+        if (silence.count() == 0) {
+            return;
+        }
+        const mono_time now = loop.now();
+        std::vector<instance_id> silent;
+        for (const auto& [id, link] : out) {
+            const mono_time since = std::max(link->begun, heard_at[id]);
+            if (now - since > silence) {
+                silent.push_back(id);
+            }
+        }
+        for (const instance_id& id : silent) {
+            if (out.at(id)->ready) {
+                log::info("peer_silent", {{"peer", id.str()}, {"silence_ms", silence.count()}});
+            }
+            drop(id);
+        }
+    }
+
     void connect_to(const instance_id& id, const sockaddr_in& address)
     {
         unique_fd fd{socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
@@ -163,6 +190,7 @@
         }
         auto link = std::make_unique<outgoing>(hello_key);
         link->fd = std::move(fd);
+        link->begun = loop.now();
         link->mine = new_hello();
         frame_writer first{hello_key};
         link->waiting = first.write(to_bytes(message{link->mine}));
@@ -317,13 +345,19 @@
     bool take_message(incoming& link, message&& m)
     {
         if (link.peer) {
+            heard_at[link.peer->from] = loop.now();
             events.received(*link.peer, std::move(m));
             return true;
         }
         const auto* theirs = std::get_if<hello>(&m);
-        if (theirs == nullptr || !addresses.contains(theirs->from)) {
+        if (theirs == nullptr) {
             return false;
         }
+        const bool known = addresses.contains(theirs->from);
+        if (!known && (!events.introduced || !events.introduced(*theirs))) {
+            return false;
+        }
+        heard_at[theirs->from] = loop.now();
         const hello mine = new_hello();
         frame_writer first{hello_key};
         const std::string frame = first.write(to_bytes(message{mine}));
@@ -446,6 +480,32 @@
     return found != impl_->out.end() && found->second->ready;
 }
 
+void transport::add_peer(const peer_address& peer)
+{
+    impl_->addresses.emplace(peer.id, to_sockaddr(peer.address));
+}
+
+void transport::remove_peer(const instance_id& id)
+{
+    impl_->addresses.erase(id);
+    impl_->heard_at.erase(id);
+    impl_->drop(id);
+}
+
+void transport::supervise(milliseconds silence)
+{
+    impl_->silence = silence;
+}
+
+std::vector<instance_id> transport::known_peers() const
+{
+    std::vector<instance_id> out;
+    for (const auto& [id, address] : impl_->addresses) {
+        out.push_back(id);
+    }
+    return out;
+}
+
 std::uint64_t transport::bytes_sent() const noexcept
 {
     return impl_->bytes;
