--- /dev/null
+++ b/src/fleet/machine_driver.cpp
@@ -0,0 +1,433 @@
+#include "machine_driver.h"
+
+#include "fescuestream/base/log.h"
+
+#include <algorithm>
+
+namespace fescue::fleet {
+
+namespace {
+
+using jobs::task_id;
+
+/** After an order, the list is read again this often until it shows the outcome. */
+constexpr milliseconds list_period{800};
+/** An order without an answer is sent again after this; it may be carried out once only. */
+constexpr milliseconds order_retry{2500};
+/** A machine that is busy is tried again after this. */
+constexpr milliseconds busy_pause{1000};
+/** What a server takes to be emptied of short work, about. */
+constexpr milliseconds emptying_time{2500};
+/** What a machine takes beyond its time of maintenance until the list shows it. */
+constexpr milliseconds noticing_time{1000};
+constexpr milliseconds plan_period{100};
+/** Added to the machine service's lease on its last holder. */
+constexpr milliseconds holder_margin{500};
+
+/** @return whether the task is at work, so that another of its step may be taken away. */
+bool is_at_work(const run_driver& driver, const task_id& task)
+{
+    const run_view* run = driver.view_of(task);
+    return run != nullptr && run->stop_why.empty() && run->at_work_since;
+}
+
+} // namespace
+
+machine_driver::machine_driver(core_context& shared, run_driver& driver, dispatcher& work)
+    : shared_{shared}, driver_{driver}, work_{work}
+{
+}
+
+void machine_driver::lead()
+{
+    term_ = shared_.fence();
+    led_since_ = shared_.now();
+    orders_.clear();
+    withheld_.clear();
+    reading_ = false;
+    list_wanted_ = true;
+    list_read_ = mono_time{};
+    planner_ = scheduler::pool_planner{};
+}
+
+bool machine_driver::may_order() const
+{
+    // The holder before this one may have given orders until just before this one led.
+    const milliseconds lease = milliseconds{shared_.settings.bounds.machine_lease_ms};
+    return shared_.leads() && shared_.now() - led_since_ >= lease + holder_margin;
+}
+
+void machine_driver::tick()
+{
+    if (!driver_.leading() || !shared_.leads() || shared_.settings.machines.address.empty() ||
+        shared_.state().doc.version == 0) {
+        return;
+    }
+    read_list_if_due();
+    const mono_time now = shared_.now();
+    if (now - last_plan_ < plan_period || machines_.empty()) {
+        return;
+    }
+    last_plan_ = now;
+    for (const auto& [id, wave] : shared_.state().waves) {
+        if (!wave.is_done()) {
+            drive_wave(id, wave);
+        }
+    }
+    drive_pools();
+}
+
+// ---- the list of machines
+
+void machine_driver::read_list_if_due()
+{
+    const mono_time now = shared_.now();
+    if (reading_ || !list_wanted_ || now - list_read_ < list_period) {
+        return;
+    }
+    reading_ = true;
+    list_read_ = now;
+    page_machines_.clear();
+    read_page("");
+}
+
+void machine_driver::read_page(const std::string& page)
+{
+    shared_.counters.count("machine_lists");
+    shared_.client.send(shared_.wire.list_machines(shared_.settings.machines.address, page),
+                        [this, term = term_](auto&& response) {
+                            if (term == term_) {
+                                took_page(shared_.wire.read_machines(response));
+                            }
+                        });
+}
+
+void machine_driver::took_page(const result<machine_page>& page)
+{
+    if (!ok(page)) {
+        log::warning("machine_list_failed", {{"why", error_of(page).detail}});
+        reading_ = false;
+        return;
+    }
+    for (const machine_entry& m : value(page).machines) {
+        page_machines_[m.id] = m;
+    }
+    if (!value(page).next.empty()) {
+        read_page(value(page).next);
+        return;
+    }
+    reading_ = false;
+    list_wanted_ = false;
+    machines_ = std::move(page_machines_);
+    page_machines_.clear();
+    if (own_machines_.empty()) {
+        for (const auto& [id, m] : machines_) {
+            ++own_machines_[m.pool];
+        }
+    }
+    for (auto& [id, o] : orders_) {
+        const machine_entry* m = entry_of(id);
+        const bool settled = o.accepted && m != nullptr && m->state == machine_state::up &&
+                             (o.to.empty() || m->pool == o.to);
+        list_wanted_ = list_wanted_ || !settled;
+    }
+    log::info("machine_list", {{"machines", machines_.size()}});
+}
+
+const machine_entry* machine_driver::entry_of(const std::string& machine) const
+{
+    const auto found = machines_.find(machine);
+    return found == machines_.end() ? nullptr : &found->second;
+}
+
+const server_view* machine_driver::server_on(const machine_entry& entry) const
+{
+    const auto found = driver_.servers().find(entry.server);
+    return found == driver_.servers().end() ? nullptr : &found->second;
+}
+
+// ---- maintenance
+
+scheduler::upkeep_candidate machine_driver::candidate_of(const std::string& machine,
+                                                         const jobs::upkeep_machine& m) const
+{
+    scheduler::upkeep_candidate out;
+    out.machine = machine;
+    out.begun = m.begun;
+    const machine_entry* entry = entry_of(machine);
+    const auto order = orders_.find(machine);
+    const bool moving = order != orders_.end() && !order->second.to.empty();
+    out.ready = entry != nullptr && entry->state == machine_state::up && !moving;
+    out.withheld = withheld_.contains(machine);
+    const server_view* server = entry == nullptr ? nullptr : server_on(*entry);
+    if (server == nullptr) {
+        return out;
+    }
+    for (const auto& [task, run] : server->runs) {
+        const auto* spec = shared_.state().spec_of(task);
+        ++(spec != nullptr && spec->lasting ? out.lasting_tasks : out.other_tasks);
+    }
+    return out;
+}
+
+void machine_driver::drive_wave(const std::string& id, const jobs::upkeep_wave& wave)
+{
+    const milliseconds upkeep{shared_.settings.bounds.upkeep_ms};
+    scheduler::upkeep_view view;
+    view.most_at_once = wave.most_at_once;
+    view.left = milliseconds{wave.asked_at + wave.duration_ms - wall_now()};
+    view.each = upkeep + emptying_time + noticing_time;
+    for (const auto& [machine, m] : wave.machines) {
+        if (m.done) {
+            continue;
+        }
+        if (m.begun) {
+            close_upkeep(id, machine);
+        }
+        view.machines.push_back(candidate_of(machine, m));
+    }
+    const auto decision = scheduler::plan_upkeep(view);
+    for (const std::size_t i : decision.withhold) {
+        const machine_entry* entry = entry_of(view.machines[i].machine);
+        withheld_[view.machines[i].machine] = entry->server;
+        driver_.withhold(entry->server, true);
+        log::info("machine_withheld", {{"machine", entry->id},
+                                       {"server", entry->server.str()},
+                                       {"wave", id},
+                                       {"left_ms", view.left.count()}});
+    }
+    empty_servers(decision.hurry);
+    if (!may_order()) {
+        return;
+    }
+    for (const std::size_t i : decision.begin) {
+        const std::string& machine = view.machines[i].machine;
+        // Whoever leads next must know that the machine may be down.
+        shared_.log.propose_here(jobs::step_upkeep{id, machine, false, false});
+    }
+}
+
+void machine_driver::empty_servers(bool hurry)
+{
+    for (auto& [machine, id] : withheld_) {
+        if (const machine_entry* entry = entry_of(machine)) {
+            id = entry->server;
+        }
+        // Again each time: a server that restarts in the meantime takes work anew.
+        driver_.withhold(id, true);
+        const auto server = driver_.servers().find(id);
+        if (server == driver_.servers().end()) {
+            continue;
+        }
+        std::vector<task_id> stops;
+        for (const auto& [task, run] : server->second.runs) {
+            const auto* spec = shared_.state().spec_of(task);
+            if (spec == nullptr || !run.stop_why.empty()) {
+                continue;
+            }
+            if (!spec->lasting) {
+                if (hurry) {
+                    stops.push_back(task);
+                }
+                continue;
+            }
+            std::uint32_t away = 0;
+            for (std::uint32_t i = 0; i < spec->tasks; ++i) {
+                const task_id other{task.job, task.occurrence, task.step, i};
+                away += i != task.index && !is_at_work(driver_, other) ? 1 : 0;
+            }
+            if (spec->most_unavailable == 0 || away < spec->most_unavailable) {
+                // One at a time: the next is looked at when this one counts as away.
+                driver_.stop(task, "maintenance");
+            }
+        }
+        for (const task_id& task : stops) {
+            driver_.stop(task, "maintenance");
+        }
+    }
+}
+
+void machine_driver::close_upkeep(const std::string& wave, const std::string& machine)
+{
+    const mono_time now = shared_.now();
+    const auto known = orders_.find(machine);
+    if (known == orders_.end()) {
+        if (may_order()) {
+            order_upkeep(wave, machine);
+        }
+        return;
+    }
+    order& o = known->second;
+    if (!o.accepted) {
+        if (!o.under_way && now - o.sent >= order_retry && may_order()) {
+            order_upkeep(wave, machine);
+        }
+        return;
+    }
+    const machine_entry* entry = entry_of(machine);
+    const milliseconds upkeep{shared_.settings.bounds.upkeep_ms};
+    const bool list_is_newer = list_read_ > o.sent + upkeep;
+    if (!list_is_newer && now - o.sent > upkeep) {
+        list_wanted_ = true;
+    }
+    if (list_is_newer && entry != nullptr && entry->state == machine_state::up) {
+        log::info("upkeep_done", {{"machine", machine}, {"wave", wave}});
+        orders_.erase(known);
+        withheld_.erase(machine);
+        shared_.log.propose_here(jobs::step_upkeep{wave, machine, true, false});
+    } else if (list_is_newer) {
+        list_wanted_ = true;
+    }
+}
+
+void machine_driver::order_upkeep(const std::string& wave, const std::string& machine)
+{
+    orders_[machine] = {true, false, shared_.now(), {}};
+    shared_.counters.count("machine_orders");
+    log::info("upkeep_order", {{"machine", machine}, {"wave", wave}, {"fence", term_}});
+    shared_.client.send(shared_.wire.begin_upkeep(shared_.settings.machines.address, machine, wave,
+                                                  {shared_.settings.name, term_}),
+                        [this, wave, machine, term = term_](auto&& response) {
+                            if (term == term_ && driver_.leading()) {
+                                upkeep_answered(wave, machine,
+                                                shared_.wire.read_machine_reply(response));
+                            }
+                        });
+}
+
+void machine_driver::upkeep_answered(const std::string& wave, const std::string& machine,
+                                     machine_result r)
+{
+    order& o = orders_[machine];
+    o.under_way = false;
+    log::info("upkeep_answer", {{"machine", machine}, {"wave", wave}, {"answer", name_of(r)}});
+    if (r == machine_result::accepted) {
+        o.accepted = true;
+        o.sent = shared_.now();
+    } else if (r == machine_result::no_such_machine || r == machine_result::not_in_wave) {
+        orders_.erase(machine);
+        withheld_.erase(machine);
+        shared_.log.propose_here(jobs::step_upkeep{wave, machine, true, true});
+    } else if (r == machine_result::busy || r == machine_result::throttled) {
+        o.sent = shared_.now() - order_retry + busy_pause;
+    }
+}
+
+// ---- moves
+
+std::vector<scheduler::pool_need> machine_driver::pool_needs() const
+{
+    std::vector<scheduler::pool_need> out;
+    const auto& loads = work_.loads();
+    for (const auto& [id, pool] : shared_.state().doc.pools) {
+        scheduler::pool_need need;
+        need.pool = id;
+        need.standby = pool.standby;
+        if (const auto own = own_machines_.find(id); own != own_machines_.end()) {
+            need.own_machines = own->second;
+        }
+        if (const auto load = loads.find(id); load != loads.end()) {
+            const pool_load& l = load->second;
+            need.capacity_cpu = l.capacity_cpu;
+            need.demand_cpu = l.capacity_cpu - l.free_cpu + l.wanted_cpu;
+            need.short_of_room = l.wanted_cpu > l.free_cpu;
+        }
+        out.push_back(need);
+    }
+    const auto need_of = [&](const pool_id& id) {
+        const auto found = std::ranges::find(out, id, &scheduler::pool_need::pool);
+        return found == out.end() ? nullptr : &*found;
+    };
+    for (const auto& [id, m] : machines_) {
+        const auto order = orders_.find(id);
+        const bool moving = order != orders_.end() && !order->second.to.empty();
+        auto* need = need_of(moving ? order->second.to : m.pool);
+        if (need == nullptr) {
+            continue;
+        }
+        ++need->machines;
+        need->capacity_cpu += moving ? m.capacity.cpu_milli : 0;
+    }
+    return out;
+}
+
+std::vector<scheduler::movable_machine> machine_driver::movable() const
+{
+    std::vector<scheduler::movable_machine> out;
+    for (const auto& [id, m] : machines_) {
+        if (m.state != machine_state::up || orders_.contains(id) || withheld_.contains(id) ||
+            shared_.state().out_of_service.contains(m.data_centre)) {
+            continue;
+        }
+        const auto pool = shared_.state().doc.pools.find(m.pool);
+        const bool off = pool != shared_.state().doc.pools.end() && pool->second.standby;
+        const server_view* server = server_on(m);
+        const bool sound = off || (server != nullptr && server->reachable() &&
+                                   !server->report.leaving && server->report.pool == m.pool);
+        if (sound) {
+            const bool idle = server == nullptr || server->runs.empty();
+            out.push_back({id, m.pool, m.capacity.cpu_milli, idle});
+        }
+    }
+    return out;
+}
+
+void machine_driver::drive_pools()
+{
+    const mono_time now = shared_.now();
+    for (auto at = orders_.begin(); at != orders_.end();) {
+        const order& o = at->second;
+        const machine_entry* entry = entry_of(at->first);
+        const milliseconds move{shared_.settings.bounds.move_ms};
+        const bool is_move = !o.to.empty();
+        const bool list_is_newer = list_read_ > o.sent + move;
+        if (is_move && o.accepted && !list_is_newer && now - o.sent > move) {
+            list_wanted_ = true;
+        }
+        const bool there = is_move && o.accepted && list_is_newer && !reading_ &&
+                           entry != nullptr && entry->state != machine_state::moving;
+        const bool unknown = is_move && !o.under_way && !o.accepted && now - o.sent > order_retry;
+        at = there || unknown ? orders_.erase(at) : std::next(at);
+    }
+    if (!may_order()) {
+        return;
+    }
+    for (const scheduler::pool_move& move : planner_.plan(pool_needs(), movable(), now)) {
+        order_move(move);
+    }
+}
+
+void machine_driver::order_move(const scheduler::pool_move& move)
+{
+    const machine_entry& entry = machines_.at(move.machine);
+    driver_.withhold(entry.server, true);
+    orders_[move.machine] = {true, false, shared_.now(), move.to};
+    shared_.counters.count("machine_orders");
+    log::info("move_order", {{"machine", move.machine},
+                             {"server", entry.server.str()},
+                             {"from", move.from.str()},
+                             {"to", move.to.str()},
+                             {"why", move.why},
+                             {"fence", term_}});
+    shared_.client.send(
+        shared_.wire.move_machine(shared_.settings.machines.address, move.machine, move.to,
+                                  {shared_.settings.name, term_}),
+        [this, machine = move.machine, server = entry.server, term = term_](auto&& response) {
+            if (term != term_ || !driver_.leading()) {
+                return;
+            }
+            const machine_result r = shared_.wire.read_machine_reply(response);
+            log::info("move_answer", {{"machine", machine}, {"answer", name_of(r)}});
+            order& o = orders_[machine];
+            o.under_way = false;
+            o.accepted = r == machine_result::accepted;
+            o.sent = shared_.now();
+            if (!o.accepted && r != machine_result::unknown) {
+                driver_.withhold(server, false);
+                orders_.erase(machine);
+            }
+            list_wanted_ = true;
+        });
+}
+
+} // namespace fescue::fleet
--- /dev/null
+++ b/src/fleet/machine_driver.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/**
+ * @file
+ * Gives the orders for machines: maintenance waves and moves between pools. Only the leader does,
+ * one order a machine at a time, under its term as the fence.
+ */
+
+#include "core_context.h"
+#include "dispatcher.h"
+#include "run_driver.h"
+
+#include "fescuestream/scheduler/pool_plan.h"
+#include "fescuestream/scheduler/upkeep_plan.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fescue::fleet {
+
+class machine_driver {
+public:
+    machine_driver(core_context& shared, run_driver& driver, dispatcher& work);
+
+    void lead();
+    void tick();
+
+private:
+    /** An order that was sent for a machine. */
+    struct order {
+        bool under_way{false};
+        bool accepted{false};
+        mono_time sent{};
+        /** Empty: maintenance. */
+        pool_id to;
+    };
+
+    bool may_order() const;
+    // ---- the list of machines
+    void read_list_if_due();
+    void read_page(const std::string& page);
+    void took_page(const result<machine_page>& page);
+    const machine_entry* entry_of(const std::string& machine) const;
+    const server_view* server_on(const machine_entry& entry) const;
+    // ---- maintenance
+    void drive_wave(const std::string& id, const jobs::upkeep_wave& wave);
+    scheduler::upkeep_candidate candidate_of(const std::string& machine,
+                                             const jobs::upkeep_machine& m) const;
+    void empty_servers(bool hurry);
+    void order_upkeep(const std::string& wave, const std::string& machine);
+    void upkeep_answered(const std::string& wave, const std::string& machine, machine_result r);
+    void close_upkeep(const std::string& wave, const std::string& machine);
+    // ---- moves
+    void drive_pools();
+    void order_move(const scheduler::pool_move& move);
+    std::vector<scheduler::pool_need> pool_needs() const;
+    std::vector<scheduler::movable_machine> movable() const;
+
+    core_context& shared_;
+    run_driver& driver_;
+    dispatcher& work_;
+    scheduler::pool_planner planner_;
+    std::map<std::string, machine_entry> machines_;
+    std::map<std::string, machine_entry> page_machines_;
+    /** Pools as the first list showed them. */
+    std::map<pool_id, std::size_t> own_machines_;
+    std::map<std::string, order> orders_;
+    /** Machines that are being emptied for maintenance, with the servers on them. */
+    std::map<std::string, server_id> withheld_;
+    mono_time led_since_{};
+    mono_time list_read_{};
+    mono_time last_plan_{};
+    bool reading_{false};
+    bool list_wanted_{true};
+    term_number term_{0};
+};
+
+} // namespace fescue::fleet
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -15,9 +15,9 @@
 
 /** Lease on runs, in milliseconds. It has to outlast an election, reading the servers' lists and
  * one retry; the shorter it is, the sooner work that was lost behind a cut runs elsewhere. */
-constexpr std::int64_t run_lease_ms = 4500;
+constexpr std::int64_t run_lease_ms = 3600;
 /** Longest that a look waits for an end, in milliseconds; the lease is renewed that often. */
-constexpr std::int64_t look_wait_ms = 1000;
+constexpr std::int64_t look_wait_ms = 700;
 /** Pause between two looks while work runs, so that several ends come with one look. */
 constexpr milliseconds look_pause{25};
 /** Pause after a look or an order that got no answer. */
@@ -71,6 +71,8 @@
         view.misses = 0;
         view.withheld = false;
         view.next_look = now;
+        // Followers are told of reports that say something new only.
+        view.heard = now;
         view.runs.clear();
         view.used = {};
     }
@@ -476,7 +478,9 @@
     look_order order;
     order.fence = term_;
     order.acknowledged = view.acknowledged;
-    order.lease_end_ms = view.runs.empty() ? 0 : extend_lease(view, now);
+    // A server that does not answer keeps the lease that it has: else it would never be over.
+    const bool renews = !view.runs.empty() && view.misses == 0;
+    order.lease_end_ms = renews ? extend_lease(view, now) : 0;
     const bool waits = view.fenced && view.misses == 0;
     order.wait_ms = waits ? look_wait_ms : 0;
     view.looking = true;
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -5,6 +5,7 @@
 #include "dispatcher.h"
 #include "group.h"
 #include "links.h"
+#include "machine_driver.h"
 #include "run_driver.h"
 
 #include "fescuestream/base/codec.h"
@@ -55,6 +56,7 @@
     std::unique_ptr<group> members;
     std::unique_ptr<run_driver> driver;
     std::unique_ptr<dispatcher> work;
+    std::unique_ptr<machine_driver> machines;
     std::unique_ptr<caller_api> callers;
     std::unique_ptr<control_api> control;
     std::unique_ptr<http::server> server;
@@ -126,6 +128,7 @@
         members = std::make_unique<group>(*shared, disk);
         driver = std::make_unique<run_driver>(*shared, [this] { work->wake(); });
         work = std::make_unique<dispatcher>(*shared, *driver);
+        machines = std::make_unique<machine_driver>(*shared, *driver, *work);
         callers = std::make_unique<caller_api>(*shared, *work);
         control = std::make_unique<control_api>(*shared, *driver,
                                                 [this](const jobs::server_report& r) { share(r); });
@@ -176,11 +179,13 @@
                                   {"servers_with_runs", log->state().runs.size()}});
             driver->lead();
             work->lead();
+            machines->lead();
         } else if (!leads && driver->leading()) {
             log::info("not_leading", {{"term", replica.term()}});
             driver->follow();
         }
         driver->tick();
+        machines->tick();
         expire_forwards();
     }
 
--- /dev/null
+++ b/src/scheduler/pool_plan.cpp
@@ -0,0 +1,119 @@
+#include "fescuestream/scheduler/pool_plan.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace fescue::scheduler {
+
+namespace {
+
+const pool_need* find(const std::vector<pool_need>& pools, const pool_id& id)
+{
+    const auto found = std::ranges::find(pools, id, &pool_need::pool);
+    return found == pools.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+std::vector<pool_move> pool_planner::plan(const std::vector<pool_need>& pools,
+                                          const std::vector<movable_machine>& machines,
+                                          mono_time now)
+{
+    std::set<std::string> seen;
+    std::vector<movable_machine> free;
+    for (const movable_machine& m : machines) {
+        if (!m.idle) {
+            continue;
+        }
+        seen.insert(m.id);
+        const auto [at, fresh] = idle_.try_emplace(m.id, idle_since{m.pool, now});
+        if (!fresh && at->second.pool != m.pool) {
+            at->second = {m.pool, now};
+        }
+        free.push_back(m);
+    }
+    std::erase_if(idle_, [&](const auto& i) { return !seen.contains(i.first); });
+    for (const pool_need& p : pools) {
+        if (p.short_of_room) {
+            short_at_[p.pool] = now;
+        }
+    }
+    std::vector<pool_move> out;
+    lend(pools, free, out, now);
+    give_back(pools, free, out, now);
+    return out;
+}
+
+void pool_planner::lend(const std::vector<pool_need>& pools, std::vector<movable_machine>& free,
+                        std::vector<pool_move>& out, mono_time now)
+{
+    std::map<pool_id, std::int64_t> spare;
+    for (const pool_need& p : pools) {
+        const auto wanted =
+            static_cast<std::int64_t>(static_cast<double>(p.demand_cpu) * policy_.headroom);
+        spare[p.pool] = p.capacity_cpu - wanted;
+    }
+    // Machines that are off first, then those that have idled longest.
+    std::ranges::sort(free, [&](const movable_machine& a, const movable_machine& b) {
+        const auto key = [&](const movable_machine& m) {
+            const pool_need* p = find(pools, m.pool);
+            return std::tuple{p == nullptr || !p->standby, idle_.at(m.id).at, m.id};
+        };
+        return key(a) < key(b);
+    });
+    for (const pool_need& p : pools) {
+        std::int64_t missing = p.demand_cpu - p.capacity_cpu;
+        if (p.standby || !p.short_of_room) {
+            continue;
+        }
+        std::size_t moved = 0;
+        for (auto at = free.begin();
+             at != free.end() && missing > 0 && moved < policy_.most_moves;) {
+            const pool_need* from = find(pools, at->pool);
+            const bool may_give =
+                from != nullptr && from->pool != p.pool &&
+                (from->standby ||
+                 (!from->short_of_room && spare[at->pool] >= at->cpu &&
+                  now - idle_.at(at->id).at >= policy_.move_worth && from->machines > 1));
+            if (!may_give) {
+                ++at;
+                continue;
+            }
+            spare[at->pool] -= at->cpu;
+            missing -= at->cpu;
+            ++moved;
+            out.push_back({at->id, at->pool, p.pool, "short_of_room"});
+            at = free.erase(at);
+        }
+    }
+}
+
+void pool_planner::give_back(const std::vector<pool_need>& pools,
+                             std::vector<movable_machine>& free, std::vector<pool_move>& out,
+                             mono_time now)
+{
+    const auto standby = std::ranges::find_if(pools, &pool_need::standby);
+    if (standby == pools.end()) {
+        return;
+    }
+    for (const pool_need& p : pools) {
+        const auto last_short = short_at_.find(p.pool);
+        const bool calm =
+            last_short == short_at_.end() || now - last_short->second >= policy_.move_worth;
+        if (p.standby || p.machines <= p.own_machines || !calm) {
+            continue;
+        }
+        std::size_t borrowed = p.machines - p.own_machines;
+        for (const movable_machine& m : free) {
+            const bool idle_long =
+                m.pool == p.pool && now - idle_.at(m.id).at >= policy_.move_worth;
+            if (idle_long && borrowed > 0) {
+                --borrowed;
+                out.push_back({m.id, m.pool, standby->pool, "idle"});
+            }
+        }
+    }
+}
+
+} // namespace fescue::scheduler
