--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -4,10 +4,11 @@
  * @file
  * Which server a task starts on.
  *
- * Load pattern: bursts of short tasks beside few tasks that last. Short tasks go where most room
- * is, so that a lost server takes little work along; lasting tasks go together on servers that
- * have some already, apart from each other where the step asks for it, so that the other servers
- * of the pool can be moved or maintained without touching them.
+ * Load pattern: bursts of short tasks in one pool after another, beside few tasks that last. Work
+ * is packed: lasting tasks together, apart from each other where the step asks for it, and short
+ * ones first beside them and then on the fullest server that has room. So a pool whose burst is
+ * over has idle servers at once, and these can be moved to the next burst or maintained; a trickle
+ * that is spread over all servers keeps each of them from that.
  */
 
 #include "fescuestream/jobs/model.h"
--- a/include/fescuestream/scheduler/pool_plan.h
+++ b/include/fescuestream/scheduler/pool_plan.h
@@ -6,9 +6,10 @@
  *
  * Load pattern: the queues' demand rises by turns to several times its mean for some seconds, more
  * than a pool holds, while the others idle. A move takes a second or two and has a price, and a
- * machine in a pool has a price for each moment. So machines go at once to where work waits that
- * the pool can't start, from where nothing runs on them; machines off in the standby pool come
- * first, and borrowed ones go back when they have been idle for as long as a move costs.
+ * machine in a pool has a price for each moment. So machines go at once to where work arrives
+ * faster than the pool can do it, before a backlog has built up, from where nothing runs on them;
+ * machines off in the standby pool come first, and borrowed ones go back when they have been idle
+ * for as long as a move costs.
  */
 
 #include "fescuestream/base/ids.h"
@@ -28,8 +29,8 @@
     std::int64_t demand_cpu{0};
     /** Thousandths of a core of its servers, those on their way included. */
     std::int64_t capacity_cpu{0};
-    /** Work waits that has no room. */
-    bool short_of_room{false};
+    /** Thousandths of a core that the work which arrives now takes, if it goes on like this. */
+    std::int64_t arriving_cpu{0};
     /** Machines that the pool had before any were lent or borrowed. */
     std::size_t own_machines{0};
     std::size_t machines{0};
@@ -51,12 +52,15 @@
     std::string why;
 };
 
+/** @return thousandths of a core that the pool should have. */
+std::int64_t wanted_cpu(const pool_need& need, double headroom) noexcept;
+
 struct pool_policy {
     /** A move is worth about this much time of a machine in a pool; the platform's prices of both
      * are alike in their ratio. */
     milliseconds move_worth{2500};
-    /** Room that a pool keeps beyond its demand before it lends. */
-    double headroom{1.25};
+    /** Room that a pool keeps beyond its demand before it lends, and aims at when it borrows. */
+    double headroom{1.15};
     /** Most machines that one pool gets in one round. */
     std::size_t most_moves{16};
 };
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -16,6 +16,12 @@
 constexpr milliseconds round_pause{4};
 /** A round runs at least this often, for what only time changes. */
 constexpr milliseconds round_period{100};
+constexpr milliseconds load_log_period{1000};
+/** Time over which the rate of arriving work is taken: short against a burst of seconds. */
+constexpr milliseconds arrival_window{800};
+/** Fewer jobs than this in the window are no rate. */
+constexpr int least_arrivals = 3;
+constexpr double milli = 1000.0;
 /** Most starts in one log entry. */
 constexpr std::size_t most_starts = 256;
 /** A batch of starts that was not applied for so long is lost with its leader. */
@@ -61,10 +67,45 @@
         }
     } else if (const auto* ends = std::get_if<jobs::end_runs>(&cmd)) {
         learn(*ends);
+    } else if (const auto* job = std::get_if<jobs::submit_job>(&cmd)) {
+        note_arrival(*job);
     }
     due_ = true;
 }
 
+void dispatcher::note_arrival(const jobs::submit_job& cmd)
+{
+    if (cmd.spec.lasting() || cmd.spec.repeats.times > 0) {
+        return;
+    }
+    double core_ms = 0;
+    for (const jobs::step_spec& step : cmd.spec.steps) {
+        core_ms += times_.expect(cmd.queue, step.estimate_ms) * step.tasks *
+                   static_cast<double>(step.room_needed().cpu_milli) / milli;
+    }
+    arrivals_.push_back({shared_.now(), cmd.terms.pool, core_ms});
+}
+
+void dispatcher::count_arrivals()
+{
+    const mono_time now = shared_.now();
+    while (!arrivals_.empty() && now - arrivals_.front().at > arrival_window) {
+        arrivals_.pop_front();
+    }
+    std::map<pool_id, std::pair<int, double>> sums;
+    for (const arrival& a : arrivals_) {
+        ++sums[a.pool].first;
+        sums[a.pool].second += a.core_ms;
+    }
+    for (const auto& [pool, sum] : sums) {
+        // A single large job is no rate.
+        if (sum.first >= least_arrivals) {
+            const auto window = static_cast<double>(arrival_window.count());
+            loads_[pool].arriving_cpu = static_cast<std::int64_t>(sum.second / window * milli);
+        }
+    }
+}
+
 void dispatcher::learn(const jobs::end_runs& cmd)
 {
     const mono_time now = shared_.now();
@@ -116,16 +157,39 @@
     r.wall = wall_now();
     gather_servers(r);
     gather_jobs(r);
+    count_arrivals();
     for (auto& [pool, jobs] : r.waiting) {
         scheduler::sort_by_urgency(jobs);
         start_tasks(r, pool);
     }
+    log_loads();
     if (r.batch.runs.empty()) {
         return;
     }
     batch_under_way_ = shared_.log.propose_here(r.batch);
 }
 
+void dispatcher::log_loads()
+{
+    if (last_run_ - loads_logged_ < load_log_period) {
+        return;
+    }
+    loads_logged_ = last_run_;
+    for (const auto& [pool, load] : loads_) {
+        if (load.wanted_cpu > 0 || load.free_cpu < load.capacity_cpu) {
+            log::info("pool_load",
+                      {{"pool", pool.str()},
+                       {"servers", load.servers},
+                       {"cpu_milli", load.capacity_cpu},
+                       {"free_cpu_milli", load.free_cpu},
+                       {"wanted_cpu_milli", load.wanted_cpu},
+                       {"arriving_cpu_milli", load.arriving_cpu},
+                       {"lasting_cpu_milli", load.lasting_cpu},
+                       {"backlog_core_ms", static_cast<std::int64_t>(load.backlog_core_ms)}});
+        }
+    }
+}
+
 void dispatcher::open_occurrences()
 {
     const wall_ms now = wall_now();
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -14,6 +14,7 @@
 #include "fescuestream/scheduler/run_times.h"
 #include "fescuestream/scheduler/server_health.h"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -31,6 +32,8 @@
     /** Cores that waiting tasks, whose turn has come, would take at once. */
     std::int64_t wanted_cpu{0};
     std::size_t servers{0};
+    /** Thousandths of a core that the work arriving now takes, if it goes on like this. */
+    std::int64_t arriving_cpu{0};
 };
 
 class dispatcher {
@@ -52,6 +55,7 @@
     struct round;
 
     void run();
+    void log_loads();
     void open_occurrences();
     void gather_servers(round& r);
     void gather_jobs(round& r);
@@ -62,6 +66,8 @@
                     std::uint32_t step, std::vector<scheduler::candidate>& servers);
     bool within_cap(const round& r, const team_id& account, const jobs::resources& need) const;
     void learn(const jobs::end_runs& cmd);
+    void note_arrival(const jobs::submit_job& cmd);
+    void count_arrivals();
 
     core_context& shared_;
     run_driver& driver_;
@@ -76,10 +82,18 @@
     };
     std::unordered_map<jobs::task_id, begun_run> begun_;
     std::unordered_map<jobs::task_id, server_id> failed_on_;
+    /** Work that arrived of late, by pool. */
+    struct arrival {
+        mono_time at{};
+        pool_id pool;
+        double core_ms{0};
+    };
+    std::deque<arrival> arrivals_;
     bool due_{false};
     /** Starts are on their way into the log; the next round waits for them. */
     bool batch_under_way_{false};
     mono_time last_run_{};
+    mono_time loads_logged_{};
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -330,7 +330,7 @@
             const pool_load& l = load->second;
             need.capacity_cpu = l.capacity_cpu;
             need.demand_cpu = l.capacity_cpu - l.free_cpu + l.wanted_cpu;
-            need.short_of_room = l.wanted_cpu > l.free_cpu;
+            need.arriving_cpu = l.arriving_cpu + l.lasting_cpu;
         }
         out.push_back(need);
     }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -33,19 +33,17 @@
 {
     const bool disturbs = step.filler && c.serves;
     const bool disturbed = step.tail_limit_ms > 0 && !c.serves && c.lasting_tasks > 0;
-    // Lasting tasks gather; short ones keep away from them and spread.
     const auto company = static_cast<std::int64_t>(c.lasting_tasks);
-    const std::int64_t lasting_rank = step.lasting ? -company : 0;
+    const std::int64_t company_rank = step.lasting ? -company : -std::min<std::int64_t>(company, 1);
     const std::int64_t room_left = c.free.cpu_milli - step.need.cpu_milli;
-    const std::int64_t room_rank = step.lasting ? room_left : -room_left;
     return std::tuple{is_far(c, step, hints),
                       c.id == hints.avoid,
                       c.demerits,
                       disturbs,
                       disturbed,
                       static_cast<std::int64_t>(tasks_on(hints, c.id)) * (step.lasting ? 1 : 0),
-                      lasting_rank,
-                      room_rank};
+                      company_rank,
+                      room_left};
 }
 
 } // namespace
--- a/src/scheduler/pool_plan.cpp
+++ b/src/scheduler/pool_plan.cpp
@@ -16,6 +16,12 @@
 
 } // namespace
 
+std::int64_t wanted_cpu(const pool_need& need, double headroom) noexcept
+{
+    const auto demand = std::max(need.demand_cpu, need.arriving_cpu);
+    return static_cast<std::int64_t>(static_cast<double>(demand) * headroom);
+}
+
 std::vector<pool_move> pool_planner::plan(const std::vector<pool_need>& pools,
                                           const std::vector<movable_machine>& machines,
                                           mono_time now)
@@ -35,7 +41,7 @@
     }
     std::erase_if(idle_, [&](const auto& i) { return !seen.contains(i.first); });
     for (const pool_need& p : pools) {
-        if (p.short_of_room) {
+        if (wanted_cpu(p, policy_.headroom) > p.capacity_cpu) {
             short_at_[p.pool] = now;
         }
     }
@@ -50,9 +56,7 @@
 {
     std::map<pool_id, std::int64_t> spare;
     for (const pool_need& p : pools) {
-        const auto wanted =
-            static_cast<std::int64_t>(static_cast<double>(p.demand_cpu) * policy_.headroom);
-        spare[p.pool] = p.capacity_cpu - wanted;
+        spare[p.pool] = p.capacity_cpu - wanted_cpu(p, policy_.headroom);
     }
     // Machines that are off first, then those that have idled longest.
     std::ranges::sort(free, [&](const movable_machine& a, const movable_machine& b) {
@@ -63,19 +67,16 @@
         return key(a) < key(b);
     });
     for (const pool_need& p : pools) {
-        std::int64_t missing = p.demand_cpu - p.capacity_cpu;
-        if (p.standby || !p.short_of_room) {
+        if (p.standby) {
             continue;
         }
+        std::int64_t missing = -spare[p.pool];
         std::size_t moved = 0;
         for (auto at = free.begin();
              at != free.end() && missing > 0 && moved < policy_.most_moves;) {
             const pool_need* from = find(pools, at->pool);
-            const bool may_give =
-                from != nullptr && from->pool != p.pool &&
-                (from->standby ||
-                 (!from->short_of_room && spare[at->pool] >= at->cpu &&
-                  now - idle_.at(at->id).at >= policy_.move_worth && from->machines > 1));
+            const bool may_give = from != nullptr && from->pool != p.pool &&
+                                  (from->standby || spare[at->pool] >= at->cpu);
             if (!may_give) {
                 ++at;
                 continue;
