--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -22,6 +22,8 @@
 /** Fewer jobs than this in the window are no rate. */
 constexpr int least_arrivals = 3;
 constexpr double milli = 1000.0;
+/** A server that has not reported for so long, three of its periods, gets nothing new. */
+constexpr milliseconds report_lease{4500};
 /** Most starts in one log entry. */
 constexpr std::size_t most_starts = 256;
 /** A batch of starts that was not applied for so long is lost with its leader. */
@@ -29,9 +31,9 @@
 
 bool usable(const server_view& view, mono_time now)
 {
-    return view.reachable() && !view.report.leaving && !view.withheld &&
-           now >= view.refused_until && !view.report.address.empty() && view.clock.at_least(now) &&
-           (view.fenced || view.runs.empty());
+    return view.reachable() && now - view.heard < report_lease && !view.report.leaving &&
+           !view.withheld && now >= view.refused_until && !view.report.address.empty() &&
+           view.clock.at_least(now) && (view.fenced || view.runs.empty());
 }
 
 } // namespace
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -304,6 +304,9 @@
     if (r == machine_result::accepted) {
         o.accepted = true;
         o.sent = shared_.now();
+        if (const auto server = withheld_.find(machine); server != withheld_.end()) {
+            driver_.left(server->second);
+        }
     } else if (r == machine_result::no_such_machine || r == machine_result::not_in_wave) {
         orders_.erase(machine);
         withheld_.erase(machine);
@@ -422,7 +425,9 @@
             o.under_way = false;
             o.accepted = r == machine_result::accepted;
             o.sent = shared_.now();
-            if (!o.accepted && r != machine_result::unknown) {
+            if (o.accepted) {
+                driver_.left(server);
+            } else if (r != machine_result::unknown) {
                 driver_.withhold(server, false);
                 orders_.erase(machine);
             }
--- a/src/fleet/protocol.cpp
+++ b/src/fleet/protocol.cpp
@@ -6,9 +6,9 @@
 
 std::string_view name_of(order_result r) noexcept
 {
-    constexpr std::array<std::string_view, 10> names{
-        "accepted",  "fenced",    "outdated",     "too_late",  "no_room",
-        "no_ticket", "unhealthy", "wrong_server", "malformed", "unknown"};
+    constexpr std::array<std::string_view, 11> names{
+        "accepted",  "fenced",       "outdated",  "too_late", "no_room", "no_ticket",
+        "unhealthy", "wrong_server", "malformed", "not_sent", "unknown"};
     return names[static_cast<std::size_t>(r)];
 }
 
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -82,6 +82,8 @@
     wrong_server,
     /** The order was not understood. */
     malformed,
+    /** No byte of the order left: it was surely not carried out. */
+    not_sent,
     /** No answer: it may have been carried out, or may yet be. */
     unknown,
 };
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -367,9 +367,12 @@
         servers_.at(id).next_look = std::min(servers_.at(id).next_look, shared_.now());
         return;
     }
-    log::info(
-        "stop_not_taken",
-        {{"task", name.task.text()}, {"server", id.str()}, {"answer", name_of(reply.result)}});
+    if (!run->stop_failed) {
+        run->stop_failed = true;
+        log::info(
+            "stop_not_taken",
+            {{"task", name.task.text()}, {"server", id.str()}, {"answer", name_of(reply.result)}});
+    }
 }
 
 // ---- starts
@@ -460,6 +463,7 @@
         send_stop(view, name.task, *run);
         return;
     }
+    view.misses += reply.result == order_result::not_sent ? 1 : 0;
     propose_end(name, run_end::not_begun, "", "refused");
 }
 
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -59,6 +59,7 @@
     std::string stop_why;
     bool stop_under_way{false};
     bool stop_answered{false};
+    bool stop_failed{false};
     mono_time stop_tried{};
     /** Its end is on its way into the log. */
     bool end_proposed{false};
