--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -173,6 +173,20 @@
     }
 };
 
+/** Recorded before an order for a machine leaves: whoever leads next leaves the machine alone for
+ * as long as the machine service asks of two holders. */
+struct order_machine {
+    std::string machine;
+    /** Empty: maintenance. */
+    pool_id to;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(machine, to);
+    }
+};
+
 /** Ended jobs of which nothing is told any more. */
 struct forget_jobs {
     std::vector<job_id> ids;
@@ -186,6 +200,6 @@
 
 using command =
     std::variant<no_change, put_document, set_data_centre, submit_job, cancel_job, open_occurrence,
-                 begin_runs, end_runs, start_upkeep, step_upkeep, forget_jobs>;
+                 begin_runs, end_runs, start_upkeep, step_upkeep, order_machine, forget_jobs>;
 
 } // namespace fescue::jobs
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -34,14 +34,25 @@
 } // namespace
 
 machine_driver::machine_driver(core_context& shared, run_driver& driver, dispatcher& work)
-    : shared_{shared}, driver_{driver}, work_{work}
+    : shared_{shared}, driver_{driver}, work_{work}, started_{shared.now()}
 {
 }
 
+void machine_driver::applied(const jobs::command& cmd)
+{
+    const auto* order = std::get_if<jobs::order_machine>(&cmd);
+    if (order == nullptr) {
+        return;
+    }
+    noted_[order->machine] = {shared_.fence(), shared_.now()};
+    if (driver_.leading() && shared_.leads() && !order->to.empty()) {
+        send_move(order->machine, order->to);
+    }
+}
+
 void machine_driver::lead()
 {
     term_ = shared_.fence();
-    led_since_ = shared_.now();
     orders_.clear();
     withheld_.clear();
     reading_ = false;
@@ -50,11 +61,16 @@
     planner_ = scheduler::pool_planner{};
 }
 
-bool machine_driver::may_order() const
+bool machine_driver::may_order(const std::string& machine) const
 {
-    // The holder before this one may have given orders until just before this one led.
-    const milliseconds lease = milliseconds{shared_.settings.bounds.machine_lease_ms};
-    return shared_.leads() && shared_.now() - led_since_ >= lease + holder_margin;
+    const milliseconds lease =
+        milliseconds{shared_.settings.bounds.machine_lease_ms} + holder_margin;
+    const mono_time now = shared_.now();
+    const auto noted = noted_.find(machine);
+    if (noted == noted_.end()) {
+        return shared_.leads() && (term_ == 1 || now - started_ >= lease);
+    }
+    return shared_.leads() && (noted->second.term == term_ || now - noted->second.at >= lease);
 }
 
 void machine_driver::tick()
@@ -197,11 +213,11 @@
                                        {"left_ms", view.left.count()}});
     }
     empty_servers(decision.hurry);
-    if (!may_order()) {
-        return;
-    }
     for (const std::size_t i : decision.begin) {
         const std::string& machine = view.machines[i].machine;
+        if (!may_order(machine)) {
+            continue;
+        }
         // Whoever leads next must know that the machine may be down.
         shared_.log.propose_here(jobs::step_upkeep{id, machine, false, false});
     }
@@ -252,14 +268,14 @@
     const mono_time now = shared_.now();
     const auto known = orders_.find(machine);
     if (known == orders_.end()) {
-        if (may_order()) {
+        if (may_order(machine)) {
             order_upkeep(wave, machine);
         }
         return;
     }
     order& o = known->second;
     if (!o.accepted) {
-        if (!o.under_way && now - o.sent >= order_retry && may_order()) {
+        if (!o.under_way && now - o.sent >= order_retry && may_order(machine)) {
             order_upkeep(wave, machine);
         }
         return;
@@ -284,6 +300,7 @@
 {
     orders_[machine] = {true, false, shared_.now(), {}};
     shared_.counters.count("machine_orders");
+    shared_.log.propose_here(jobs::order_machine{machine, {}});
     log::info("upkeep_order", {{"machine", machine}, {"wave", wave}, {"fence", term_}});
     shared_.client.send(shared_.wire.begin_upkeep(shared_.settings.machines.address, machine, wave,
                                                   {shared_.settings.name, term_}),
@@ -358,8 +375,8 @@
 {
     std::vector<scheduler::movable_machine> out;
     for (const auto& [id, m] : machines_) {
-        if (m.state != machine_state::up || orders_.contains(id) || withheld_.contains(id) ||
-            shared_.state().out_of_service.contains(m.data_centre)) {
+        if (m.state != machine_state::up || orders_.contains(id) || !may_order(id) ||
+            withheld_.contains(id) || shared_.state().out_of_service.contains(m.data_centre)) {
             continue;
         }
         const auto pool = shared_.state().doc.pools.find(m.pool);
@@ -392,9 +409,6 @@
         const bool unknown = is_move && !o.under_way && !o.accepted && now - o.sent > order_retry;
         at = there || unknown ? orders_.erase(at) : std::next(at);
     }
-    if (!may_order()) {
-        return;
-    }
     for (const scheduler::pool_move& move : planner_.plan(pool_needs(), movable(), now)) {
         order_move(move);
     }
@@ -404,18 +418,31 @@
 {
     const machine_entry& entry = machines_.at(move.machine);
     driver_.withhold(entry.server, true);
-    orders_[move.machine] = {true, false, shared_.now(), move.to};
-    shared_.counters.count("machine_orders");
+    orders_[move.machine] = {false, false, shared_.now(), move.to};
     log::info("move_order", {{"machine", move.machine},
                              {"server", entry.server.str()},
                              {"from", move.from.str()},
                              {"to", move.to.str()},
                              {"why", move.why},
                              {"fence", term_}});
+    shared_.log.propose_here(jobs::order_machine{move.machine, move.to});
+}
+
+void machine_driver::send_move(const std::string& machine, const pool_id& to)
+{
+    const machine_entry* entry = entry_of(machine);
+    const auto known = orders_.find(machine);
+    if (entry == nullptr || known == orders_.end() || known->second.to != to) {
+        log::info("move_dropped", {{"machine", machine}, {"to", to.str()}});
+        return;
+    }
+    known->second.under_way = true;
+    known->second.sent = shared_.now();
+    shared_.counters.count("machine_orders");
     shared_.client.send(
-        shared_.wire.move_machine(shared_.settings.machines.address, move.machine, move.to,
+        shared_.wire.move_machine(shared_.settings.machines.address, machine, to,
                                   {shared_.settings.name, term_}),
-        [this, machine = move.machine, server = entry.server, term = term_](auto&& response) {
+        [this, machine, server = entry->server, term = term_](auto&& response) {
             if (term != term_ || !driver_.leading()) {
                 return;
             }
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -25,6 +25,8 @@
 
     void lead();
     void tick();
+    /** Called on every scheduler, leading or not. */
+    void applied(const jobs::command& cmd);
 
 private:
     /** An order that was sent for a machine. */
@@ -36,7 +38,9 @@
         pool_id to;
     };
 
-    bool may_order() const;
+    /** @return whether no other holder may have ordered the machine of late. */
+    bool may_order(const std::string& machine) const;
+    void send_move(const std::string& machine, const pool_id& to);
     // ---- the list of machines
     void read_list_if_due();
     void read_page(const std::string& page);
@@ -68,7 +72,14 @@
     std::map<std::string, order> orders_;
     /** Machines that are being emptied for maintenance, with the servers on them. */
     std::map<std::string, server_id> withheld_;
-    mono_time led_since_{};
+    /** The newest order for each machine in the log: its term, and when it was applied here. */
+    struct noted_order {
+        term_number term{0};
+        mono_time at{};
+    };
+    std::map<std::string, noted_order> noted_;
+    /** Orders before this instance's start are not known to it. */
+    mono_time started_;
     mono_time list_read_{};
     mono_time last_plan_{};
     bool reading_{false};
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -116,6 +116,7 @@
                 [this](const jobs::command& cmd, const jobs::outcome& /*outcome*/) {
                     driver->applied(cmd);
                     work->applied(cmd);
+                    machines->applied(cmd);
                 },
                 [this] { log_restored(); }, [this](const error& e) { disk_failed(e); }},
             snapshots);
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -272,6 +272,12 @@
     return {std::nullopt, true};
 }
 
+outcome act(state& /*s*/, const order_machine& /*cmd*/)
+{
+    // Nothing is kept: each instance notes when it applied the order.
+    return {std::nullopt, true};
+}
+
 outcome act(state& s, const forget_jobs& cmd)
 {
     for (const job_id& id : cmd.ids) {
