Given-up requests are reset; a task counts as at work only when it was seen so of late

Closing now resets the connection. Ruled out: two leaders at once (the terms' times do not overlap), a wrong wait of the new holder.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -24,13 +24,6 @@
 /** Added to the machine service's lease on its last holder. */
 constexpr milliseconds holder_margin{500};
 
-/** @return whether the task is at work, so that another of its step may be taken away. */
-bool is_at_work(const run_driver& driver, const task_id& task)
-{
-    const run_view* run = driver.view_of(task);
-    return run != nullptr && run->stop_why.empty() && run->at_work_since;
-}
-
 } // namespace
 
 machine_driver::machine_driver(core_context& shared, run_driver& driver, dispatcher& work)
@@ -198,6 +191,7 @@
             continue;
         }
         if (m.begun) {
+            keep_withheld(machine);
             close_upkeep(id, machine);
         }
         view.machines.push_back(candidate_of(machine, m));
@@ -223,6 +217,17 @@
     }
 }
 
+void machine_driver::keep_withheld(const std::string& machine)
+{
+    const machine_entry* entry = entry_of(machine);
+    const auto order = orders_.find(machine);
+    const bool accepted = order != orders_.end() && order->second.accepted;
+    if (entry != nullptr && !accepted) {
+        // An earlier leader began it: what it was told in memory is not known here.
+        withheld_.try_emplace(machine, entry->server);
+    }
+}
+
 void machine_driver::empty_servers(bool hurry)
 {
     for (auto& [machine, id] : withheld_) {
@@ -250,7 +255,7 @@
             std::uint32_t away = 0;
             for (std::uint32_t i = 0; i < spec->tasks; ++i) {
                 const task_id other{task.job, task.occurrence, task.step, i};
-                away += i != task.index && !is_at_work(driver_, other) ? 1 : 0;
+                away += i != task.index && !driver_.at_work(other) ? 1 : 0;
             }
             if (spec->most_unavailable == 0 || away < spec->most_unavailable) {
                 // One at a time: the next is looked at when this one counts as away.
@@ -298,6 +303,12 @@
 
 void machine_driver::order_upkeep(const std::string& wave, const std::string& machine)
 {
+    const machine_entry* entry = entry_of(machine);
+    const server_view* view = entry == nullptr ? nullptr : server_on(*entry);
+    if (view != nullptr && !view->runs.empty()) {
+        // Work that was on its way into the log when the upkeep was decided; it is emptied again.
+        return;
+    }
     orders_[machine] = {true, false, shared_.now(), {}};
     shared_.counters.count("machine_orders");
     shared_.log.propose_here(jobs::order_machine{machine, {}});
@@ -436,6 +447,14 @@
         log::info("move_dropped", {{"machine", machine}, {"to", to.str()}});
         return;
     }
+    const server_view* view = server_on(*entry);
+    if (view != nullptr && !view->runs.empty()) {
+        // Work that was on its way into the log when the move was decided.
+        log::info("move_dropped", {{"machine", machine}, {"runs", view->runs.size()}});
+        driver_.withhold(entry->server, false);
+        orders_.erase(known);
+        return;
+    }
     known->second.under_way = true;
     known->second.sent = shared_.now();
     shared_.counters.count("machine_orders");
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -51,6 +51,7 @@
     void drive_wave(const std::string& id, const jobs::upkeep_wave& wave);
     scheduler::upkeep_candidate candidate_of(const std::string& machine,
                                              const jobs::upkeep_machine& m) const;
+    void keep_withheld(const std::string& machine);
     void empty_servers(bool hurry);
     void order_upkeep(const std::string& wave, const std::string& machine);
     void upkeep_answered(const std::string& wave, const std::string& machine, machine_result r);
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds look_pause{25};
 /** Pause after a look or an order that got no answer. */
 constexpr milliseconds retry_pause{150};
+/** What a look showed is believed for so long: looks wait up to look_wait_ms for an answer. */
+constexpr milliseconds believed_for{1500};
 /** Pauses grow to so many of the above. */
 constexpr std::uint32_t most_retry_pauses = 4;
 /** Pause between two tries to stop a run. */
@@ -520,6 +522,7 @@
         log::info("server_answers_again", {{"server", id.str()}, {"misses", view.misses}});
     }
     view.misses = 0;
+    view.looked_at = std::max(view.looked_at, sent);
     view.next_look = now + look_pause;
     const look_reply& lists = value(reply);
     if (lists.life != 0 && view.report.life != 0 && lists.life != view.report.life) {
@@ -745,6 +748,20 @@
     tickets_[run] = std::move(ticket);
 }
 
+bool run_driver::at_work(const task_id& task) const
+{
+    const auto at = where_.find(task);
+    const auto server = at == where_.end() ? servers_.end() : servers_.find(at->second);
+    if (server == servers_.end()) {
+        return false;
+    }
+    const server_view& view = server->second;
+    const auto run = view.runs.find(task);
+    const bool seen_now = view.reachable() && shared_.now() - view.looked_at < believed_for;
+    return seen_now && run != view.runs.end() && run->second.stop_why.empty() &&
+           !run->second.end_proposed && run->second.at_work_since;
+}
+
 const run_view* run_driver::view_of(const task_id& task) const
 {
     return const_cast<run_driver*>(this)->locate(task).second; // NOLINT: handed out as const.
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -46,6 +46,8 @@
     void set_ticket(const jobs::run_id& run, std::string ticket);
 
     const std::map<server_id, server_view>& servers() const noexcept { return servers_; }
+    /** @return whether the task was seen at its full work of late and is to stay there. */
+    bool at_work(const jobs::task_id& task) const;
     /** @return the leader's view of a task's run, or nullptr. */
     const run_view* view_of(const jobs::task_id& task) const;
     /** @return how long after their order starts were answered, for the metrics. */
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -90,6 +90,8 @@
     std::map<jobs::task_id, run_view> runs;
     bool looking{false};
     mono_time next_look{};
+    /** When the newest look that was answered was sent. */
+    mono_time looked_at{};
     /** Looks and orders without an answer, in a row. */
     std::uint32_t misses{0};
     /** The server said that it leaves and has ended. */
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,8 @@
 #include "fescuestream/http/client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
@@ -84,6 +86,17 @@
     return size * count;
 }
 
+/**
+ * Ends a connection with a reset. After an ordinary close the system goes on sending what is still
+ * queued: a request that was given up could reach its server long after, when a cut has healed.
+ */
+int close_at_once(void* /*self*/, curl_socket_t fd)
+{
+    const linger nothing_lingers{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &nothing_lingers, sizeof nothing_lingers);
+    return close(fd);
+}
+
 bool has_no_body(int status) noexcept
 {
     return status == 204 || status == 304;
@@ -260,6 +273,7 @@
     if (!t->in.ca_file.empty()) {
         curl_easy_setopt(easy, CURLOPT_CAINFO, t->in.ca_file.c_str());
     }
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &close_at_once);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
