--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -140,6 +140,8 @@
     // Derived from the above; not part of a snapshot.
     /** Jobs that are not over, or of which something still runs. */
     std::set<job_id> live;
+    /** Those of them with occurrences still to open. */
+    std::set<job_id> repeating;
     /** Runs by server. */
     std::map<server_id, std::set<task_id>> runs;
     /** What each account has running. */
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -177,12 +177,9 @@
 void dispatcher::open_occurrences()
 {
     const wall_ms now = wall_now();
-    for (const jobs::job_id& id : shared_.state().live) {
+    for (const jobs::job_id& id : shared_.state().repeating) {
         const jobs::job& j = shared_.state().jobs.at(id);
         const auto& repeats = j.spec.repeats;
-        if (is_over(j.phase) || j.occurrences_opened >= repeats.times) {
-            continue;
-        }
         const wall_ms due = repeats.first_at + repeats.interval_ms * j.occurrences_opened;
         if (now >= due) {
             shared_.log.propose_here(jobs::open_occurrence{id, j.occurrences_opened});
@@ -225,9 +222,7 @@
             continue;
         }
         const pool_id& pool = state.terms_of(j).pool;
-        standing s = standing_of(id, j);
         pool_load& load = loads_[pool];
-        load.backlog_core_ms += s.lasting ? 0 : s.work_core_ms;
         bool waits = false;
         for (const auto& [number, o] : j.occurrences) {
             for (std::size_t i = 0; i < o.steps.size(); ++i) {
@@ -245,6 +240,8 @@
             }
         }
         if (waits) {
+            const standing s = standing_of(id, j);
+            load.backlog_core_ms += s.lasting ? 0 : s.work_core_ms;
             r.waiting[pool].push_back(s);
         }
     }
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -22,7 +22,7 @@
 
 /** Work that waits in a pool, and what the pool has. */
 struct pool_load {
-    /** Work that is left of jobs that are not lasting, in core-milliseconds. */
+    /** Work that is left of jobs that wait for room and are not lasting, in core-milliseconds. */
     double backlog_core_ms{0};
     /** Thousandths of a core of the pool's usable servers. */
     std::int64_t capacity_cpu{0};
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -23,8 +23,8 @@
 /** Pause between two looks at a server while work runs, so that several ends come with one look:
  * it grows with the servers that run something, since all looks share this instance's processor. */
 constexpr milliseconds least_look_pause{20};
-constexpr milliseconds most_look_pause{120};
-constexpr std::int64_t look_pause_us_a_server = 600;
+constexpr milliseconds most_look_pause{250};
+constexpr std::int64_t look_pause_us_a_server = 1000;
 /** Pause after a look or an order that got no answer. */
 constexpr milliseconds retry_pause{150};
 /** What a look showed is believed for so long: looks wait up to look_wait_ms for an answer. */
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr milliseconds housekeeping_period{10};
+constexpr milliseconds housekeeping_period{15};
 constexpr milliseconds group_period{100};
 constexpr milliseconds forget_period{2000};
 /** A call that the leader did not answer is answered "try elsewhere" after this. */
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -118,6 +118,10 @@
     event_loop& loop;
     CURLM* multi{nullptr};
     timer_handle library_timer;
+    /** The library wants to be called at the end of this round. */
+    bool due{false};
+    /** Ends with this object; calls that are put off look at it. */
+    std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
     std::unordered_map<int, io_handle> watches;
     std::unordered_map<CURL*, std::unique_ptr<transfer>> open;
     std::vector<CURL*> spare;
@@ -168,6 +172,19 @@
             me.library_timer = timer_handle{};
             return 0;
         }
+        if (timeout_ms == 0) {
+            // Once for all requests that this round of the loop sends.
+            me.library_timer = timer_handle{};
+            if (!me.due) {
+                me.due = true;
+                me.loop.soon([&me, alive = std::weak_ptr<bool>{me.alive}] {
+                    if (!alive.expired()) {
+                        me.act_on_time();
+                    }
+                });
+            }
+            return 0;
+        }
         me.library_timer = me.loop.after(milliseconds{timeout_ms}, [&me] { me.act_on_time(); });
         return 0;
     }
@@ -183,6 +200,7 @@
 
     void act_on_time()
     {
+        due = false;
         int still = 0;
         curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &still);
         collect();
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -28,6 +28,9 @@
 /** Drops what no one asks for once nothing of an ended job runs. */
 void strip_if_over(state& s, const job_id& id, job& j)
 {
+    if (is_over(j.phase)) {
+        s.repeating.erase(id);
+    }
     if (is_over(j.phase) && j.running == 0) {
         j.spec = {};
         j.occurrences.clear();
@@ -194,6 +197,9 @@
     }
     s.jobs.emplace(cmd.id, std::move(j));
     s.live.insert(cmd.id);
+    if (cmd.spec.repeats.times > 0) {
+        s.repeating.insert(cmd.id);
+    }
     return {std::nullopt, true};
 }
 
@@ -221,6 +227,9 @@
     job& j = found->second;
     j.occurrences.emplace(cmd.occurrence, open_steps(j.spec));
     ++j.occurrences_opened;
+    if (j.occurrences_opened >= j.spec.repeats.times) {
+        s.repeating.erase(cmd.id);
+    }
     return {std::nullopt, true};
 }
 
@@ -338,12 +347,16 @@
 void state::index()
 {
     live.clear();
+    repeating.clear();
     runs.clear();
     in_use.clear();
     for (const auto& [id, j] : jobs) {
         if (!is_over(j.phase) || j.running > 0) {
             live.insert(id);
         }
+        if (!is_over(j.phase) && j.occurrences_opened < j.spec.repeats.times) {
+            repeating.insert(id);
+        }
         for (const auto& [number, o] : j.occurrences) {
             for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
                 for (std::uint32_t t = 0; t < o.steps[s].tasks.size(); ++t) {
