--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -359,6 +360,39 @@
     }
 };
 
+/** An HTTP request that another instance sends for the asker. */
+struct relayed_call {
+    std::uint64_t number{0};
+    std::string method;
+    std::string url;
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::int64_t timeout_ms{0};
+    /** The asker's wall clock: an old call is not sent any more. */
+    wall_ms asked_at{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, method, url, body, headers, timeout_ms, asked_at);
+    }
+};
+
+struct relayed_answer {
+    std::uint64_t number{0};
+    /** http::delivery. */
+    std::uint8_t how{0};
+    int status{0};
+    std::string body;
+    std::string fault;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, how, status, body, fault);
+    }
+};
+
 /** Keeps a connection's silence from being taken for a fault; tells what the sender knows. */
 struct ping {
     /** Whom the sender takes for the leader, and since which term; empty: nobody. */
@@ -392,7 +426,8 @@
                  consensus::vote_reply, consensus::install_snapshot, propose_request, propose_reply,
                  control_call, control_reply, work, work_queued, start_ask, start_answer,
                  work_reply, announcement, load_report, instance_report, release_ask,
-                 forwarded_call, forwarded_reply, ping, server_reports>;
+                 forwarded_call, forwarded_reply, ping, server_reports, relayed_call,
+                 relayed_answer>;
 
 /** Datagram between instances: who is alive, and whom it hears. */
 struct heartbeat {
--- a/include/fescuestream/wire/transport.h
+++ b/include/fescuestream/wire/transport.h
@@ -60,6 +60,10 @@
      * up in that time. The owner sends a ping to each peer a few times in that span.
      */
     void supervise(milliseconds silence);
+    /** Sent messages are held until flush(), so that a round of the loop writes each connection
+     * once. */
+    void hold_writes();
+    void flush();
     /** @return the instances that are known, connected or not. */
     std::vector<instance_id> known_peers() const;
     /** @return bytes sent over TCP and UDP so far. */
--- a/src/fleet/core_context.h
+++ b/src/fleet/core_context.h
@@ -7,6 +7,7 @@
 
 #include "fescuestream/base/metrics.h"
 #include "protocol.h"
+#include "relay.h"
 
 #include "fescuestream/base/loop.h"
 #include "fescuestream/base/metrics.h"
@@ -24,6 +25,7 @@
     const settings::job_service_settings& settings;
     const protocol& wire;
     http::client& client;
+    relay& orders;
     job_log& log;
     metrics& counters;
 
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -24,8 +24,9 @@
 constexpr std::size_t most_in_vain = 24;
 /** A server that has not reported for so long, three of its periods, gets nothing new. */
 constexpr milliseconds report_lease{4500};
-/** Most starts in one log entry. */
-constexpr std::size_t most_starts = 256;
+/** Most orders that wait for their answers. What waits here can still be put in another order or
+ * be left for later; what waits in the client's queue can't. */
+constexpr std::size_t most_orders = 96;
 /** A batch of starts that was not applied for so long is lost with its leader. */
 constexpr milliseconds batch_timeout{3000};
 
@@ -46,6 +47,7 @@
     std::map<pool_id, std::vector<standing>> waiting;
     std::map<team_id, jobs::resources> added;
     jobs::begin_runs batch;
+    std::size_t most_starts{0};
 };
 
 dispatcher::dispatcher(core_context& shared, run_driver& driver) : shared_{shared}, driver_{driver}
@@ -137,6 +139,7 @@
     round r;
     r.now = shared_.now();
     r.wall = wall_now();
+    r.most_starts = most_orders - std::min(most_orders, driver_.orders_under_way());
     gather_servers(r);
     gather_jobs(r);
     for (const auto& [id, pool] : shared_.state().doc.pools) {
@@ -309,7 +312,7 @@
     auto& servers = found->second;
     std::size_t in_vain = 0;
     for (const standing& s : r.waiting.at(pool)) {
-        if (r.batch.runs.size() >= most_starts || in_vain >= most_in_vain) {
+        if (r.batch.runs.size() >= r.most_starts || in_vain >= most_in_vain) {
             return;
         }
         const std::size_t before = r.batch.runs.size();
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -97,6 +97,7 @@
         }
         readiness = std::make_unique<http::server>(
             loop, [this](http::exchange_id id, http::request&& in) { probe(id, in); });
+        loop.at_round_end([this] { peers->flush(); });
         ticker = loop.every(housekeeping_period, [this] { housekeep(); });
         return readiness->listen(settings.readiness, {});
     }
--- a/src/fleet/group.cpp
+++ b/src/fleet/group.cpp
@@ -63,7 +63,7 @@
 void group::greeted(const wire::hello& who)
 {
     if (who.disk != 0) {
-        peers_[who.from] = {who.disk, true, shared_.now()};
+        peers_[who.from] = {who.disk, who.data_centre, true, shared_.now()};
     }
 }
 
@@ -92,6 +92,17 @@
     return out;
 }
 
+std::map<data_centre_id, std::vector<instance_id>> group::helpers() const
+{
+    std::map<data_centre_id, std::vector<instance_id>> out;
+    for (const auto& [id, peer] : peers_) {
+        if (peer.connected) {
+            out[peer.data_centre].push_back(id);
+        }
+    }
+    return out;
+}
+
 std::size_t group::least_voters() const
 {
     return std::min(fewest_voters, shared_.settings.seeds.size());
@@ -132,7 +143,7 @@
         if (v.id != shared_.settings.id) {
             others.insert(v.id);
             // A voter that was never met since this start is given the whole time.
-            peers_.try_emplace(v.id, scheduler_peer{v.disk, false, shared_.now()});
+            peers_.try_emplace(v.id, scheduler_peer{v.disk, {}, false, shared_.now()});
         }
     }
     replica.set_peers(others);
--- a/src/fleet/group.h
+++ b/src/fleet/group.h
@@ -18,6 +18,7 @@
 /** What is known of another scheduler. */
 struct scheduler_peer {
     incarnation disk{0};
+    data_centre_id data_centre;
     bool connected{false};
     mono_time last_heard{};
 };
@@ -52,6 +53,8 @@
     /** @return whether enough schedulers vote for an acknowledgement to survive a lost disk. */
     bool complete() const;
     std::vector<instance_id> schedulers() const;
+    /** @return the other schedulers that are connected, by data centre. */
+    std::map<data_centre_id, std::vector<instance_id>> helpers() const;
 
 private:
     void form_first();
--- a/src/fleet/links.cpp
+++ b/src/fleet/links.cpp
@@ -49,6 +49,7 @@
                 return true;
             }});
     transport_->supervise(longest_silence);
+    transport_->hold_writes();
 }
 
 status links::start()
--- a/src/fleet/links.h
+++ b/src/fleet/links.h
@@ -40,6 +40,8 @@
     status start();
     bool send(const instance_id& to, const wire::message& m) { return transport_->send(to, m); }
     bool connected(const instance_id& to) const { return transport_->connected(to); }
+    /** Writes what was sent in this round of the loop. */
+    void flush() { transport_->flush(); }
     /** Adds a scheduler by its id, which is its IP address. */
     void add_scheduler(const instance_id& id);
     /** Sends to every connected instance. */
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -27,6 +27,8 @@
 constexpr std::int64_t look_pause_us_a_server = 1000;
 /** Pause after a look or an order that got no answer. */
 constexpr milliseconds retry_pause{150};
+/** With fewer busy servers the way through another scheduler costs more than it saves. */
+constexpr std::size_t busy_for_relays = 64;
 /** What a look showed is believed for so long: looks wait up to look_wait_ms for an answer. */
 constexpr milliseconds believed_for{1500};
 /** Pauses grow to so many of the above. */
@@ -363,13 +365,13 @@
     run.stop_tried = shared_.now();
     const jobs::run_id name{task, run.attempt};
     ++under_way_;
-    shared_.client.send(shared_.wire.stop(address_of(view), {name, term_}),
-                        [this, id = view.report.id, name, term = term_](auto&& response) {
-                            --under_way_;
-                            if (leading_ && term == term_) {
-                                stop_answered(id, name, shared_.wire.read_order_reply(response));
-                            }
-                        });
+    send_order(view, shared_.wire.stop(address_of(view), {name, term_}),
+               [this, id = view.report.id, name, term = term_](auto&& response) {
+                   --under_way_;
+                   if (leading_ && term == term_) {
+                       stop_answered(id, name, shared_.wire.read_order_reply(response));
+                   }
+               });
 }
 
 void run_driver::stop_answered(const server_id& id, const jobs::run_id& name,
@@ -396,6 +398,13 @@
 
 // ---- starts
 
+void run_driver::send_order(const server_view& view, http::client_request&& request,
+                            http::client::callback done)
+{
+    shared_.orders.send(view.report.data_centre, std::hash<server_id>{}(view.report.id),
+                        std::move(request), std::move(done));
+}
+
 server_address run_driver::address_of(const server_view& view) const
 {
     return {view.report.address, view.report.id};
@@ -437,14 +446,13 @@
     ++under_way_;
     shared_.counters.count("run_starts");
     const jobs::run_id name = order.run;
-    shared_.client.send(shared_.wire.start(address_of(view), order),
-                        [this, id = view.report.id, name, now, term = term_](auto&& response) {
-                            --under_way_;
-                            if (leading_ && term == term_) {
-                                start_answered(id, name, shared_.wire.read_order_reply(response),
-                                               now);
-                            }
-                        });
+    send_order(view, shared_.wire.start(address_of(view), order),
+               [this, id = view.report.id, name, now, term = term_](auto&& response) {
+                   --under_way_;
+                   if (leading_ && term == term_) {
+                       start_answered(id, name, shared_.wire.read_order_reply(response), now);
+                   }
+               });
 }
 
 void run_driver::start_answered(const server_id& id, const jobs::run_id& name,
@@ -515,12 +523,12 @@
     order.wait_ms = waits ? look_wait_ms : 0;
     view.looking = true;
     shared_.counters.count("looks");
-    shared_.client.send(shared_.wire.look(address_of(view), order),
-                        [this, id = view.report.id, now, term = term_](auto&& response) {
-                            if (leading_ && term == term_) {
-                                looked(id, shared_.wire.read_look_reply(response), now);
-                            }
-                        });
+    send_order(view, shared_.wire.look(address_of(view), order),
+               [this, id = view.report.id, now, term = term_](auto&& response) {
+                   if (leading_ && term == term_) {
+                       looked(id, shared_.wire.read_look_reply(response), now);
+                   }
+               });
 }
 
 void run_driver::looked(const server_id& id, const result<look_reply>& reply, mono_time sent)
@@ -609,8 +617,8 @@
             log::info("stray_run", {{"task", a.run.task.text()},
                                     {"attempt", a.run.attempt},
                                     {"server", view.report.id.str()}});
-            shared_.client.send(shared_.wire.stop(address_of(view), {a.run, term_}),
-                                [](auto&& /*response*/) {});
+            send_order(view, shared_.wire.stop(address_of(view), {a.run, term_}),
+                       [](auto&& /*response*/) {});
             continue;
         }
         const jobs::task* t = shared_.state().find(a.run.task);
@@ -662,6 +670,7 @@
     }
     const mono_time now = shared_.now();
     std::vector<server_id> forgotten;
+    shared_.orders.enable(busy_servers_ >= busy_for_relays);
     busy_servers_ = 0;
     for (auto& [id, view] : servers_) {
         busy_servers_ += view.runs.empty() ? 0 : 1;
@@ -747,19 +756,18 @@
     }
     run->pace_under_way = true;
     const jobs::run_id name{task, run->attempt};
-    shared_.client.send(shared_.wire.pace(address_of(*view), {name, percent, term_}),
-                        [this, id = view->report.id, name, percent, term = term_](auto&& response) {
-                            run_view* still =
-                                leading_ && term == term_ ? find_run(id, name) : nullptr;
-                            if (still == nullptr) {
-                                return;
-                            }
-                            still->pace_under_way = false;
-                            const auto reply = shared_.wire.read_order_reply(response);
-                            if (reply.result == order_result::accepted) {
-                                still->pace = percent;
-                            }
-                        });
+    send_order(*view, shared_.wire.pace(address_of(*view), {name, percent, term_}),
+               [this, id = view->report.id, name, percent, term = term_](auto&& response) {
+                   run_view* still = leading_ && term == term_ ? find_run(id, name) : nullptr;
+                   if (still == nullptr) {
+                       return;
+                   }
+                   still->pace_under_way = false;
+                   const auto reply = shared_.wire.read_order_reply(response);
+                   if (reply.result == order_result::accepted) {
+                       still->pace = percent;
+                   }
+               });
 }
 
 void run_driver::withhold(const server_id& id, bool on)
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -50,7 +50,7 @@
     bool at_work(const jobs::task_id& task) const;
     /** @return the leader's view of a task's run, or nullptr. */
     const run_view* view_of(const jobs::task_id& task) const;
-    /** @return how long after their order starts were answered, for the metrics. */
+    /** @return starts and stops that have not been answered. */
     std::size_t orders_under_way() const noexcept { return under_way_; }
 
 private:
@@ -64,6 +64,8 @@
     void stop_gang(const jobs::task_id& task);
     void change_life(server_view& view, const jobs::server_report& report);
 
+    void send_order(const server_view& view, http::client_request&& request,
+                    http::client::callback done);
     void send_start(server_view& view, const jobs::task_id& task, run_view& run);
     void start_answered(const server_id& id, const jobs::run_id& run, const order_reply& reply,
                         mono_time sent);
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -56,6 +56,7 @@
     http::client client;
     incarnation disk{0};
     std::unique_ptr<links> peers;
+    std::unique_ptr<relay> orders;
     std::unique_ptr<job_log> log;
     std::unique_ptr<core_context> shared;
     std::unique_ptr<group> members;
@@ -98,6 +99,7 @@
                                                 [this](const wire::hello& who) { connected(who); },
                                                 [this](const instance_id& id) {
                                                     members->disconnected(id);
+                                                    orders->lost(id);
                                                     drop_forwards();
                                                 },
                                                 [this](wire::hello& out) {
@@ -129,8 +131,11 @@
 
     void make_parts()
     {
+        orders = std::make_unique<relay>(
+            loop, client,
+            [this](const instance_id& to, const wire::message& m) { return peers->send(to, m); });
         shared = std::make_unique<core_context>(
-            core_context{loop, settings, wire, client, *log, counters});
+            core_context{loop, settings, wire, client, *orders, *log, counters});
         members = std::make_unique<group>(*shared, disk);
         driver = std::make_unique<run_driver>(*shared, [this] { work->wake(); });
         work = std::make_unique<dispatcher>(*shared, *driver);
@@ -139,12 +144,16 @@
         control = std::make_unique<control_api>(*shared, *driver,
                                                 [this](const jobs::server_report& r) { share(r); });
         timers.push_back(loop.every(housekeeping_period, [this] { housekeep(); }));
-        timers.push_back(loop.every(group_period, [this] { members->tick(); }));
+        timers.push_back(loop.every(group_period, [this] {
+            members->tick();
+            orders->set_helpers(members->helpers());
+        }));
         timers.push_back(loop.every(forget_period, [this] { forget_old_jobs(); }));
         loop.at_round_end([this] {
             if (!stopping) {
                 work->run_if_due();
             }
+            peers->flush();
         });
     }
 
@@ -190,6 +199,7 @@
             log::info("not_leading", {{"term", replica.term()}});
             driver->follow();
         }
+        orders->tick();
         driver->tick();
         machines->tick();
         expire_forwards();
@@ -261,7 +271,13 @@
             log::warning("other_cluster", {{"peer", who.from.str()}, {"cluster", who.cluster}});
             return;
         }
-        std::visit([&](auto&& body) { take(who.from, body); }, m);
+        if (auto* call = std::get_if<wire::relayed_call>(&m)) {
+            orders->received(who.from, std::move(*call));
+        } else if (auto* answer = std::get_if<wire::relayed_answer>(&m)) {
+            orders->received(std::move(*answer));
+        } else {
+            std::visit([&](auto&& body) { take(who.from, body); }, m);
+        }
     }
 
     template <class M>
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -14,6 +14,7 @@
 #include <cerrno>
 #include <cstring>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace fescue::wire {
@@ -130,6 +131,8 @@
     std::uint64_t bytes{0};
     /** When each peer was last heard, over its own connection. */
     std::map<instance_id, mono_time> heard_at;
+    bool held{false};
+    std::set<instance_id> unwritten;
     /** 0: connections are not supervised. */
     milliseconds silence{0};
 
@@ -240,6 +243,21 @@
         return true;
     }
 
+    bool write_or_drop(const instance_id& to, outgoing& link)
+    {
+        if (link.waiting.size() >= most_waiting_bytes || !write_waiting(link)) {
+            // Told later: the caller is in the middle of its own work.
+            loop.soon([this, to] { drop(to); });
+            link.ready = false;
+            events.disconnected(to);
+            return false;
+        }
+        if (!link.waiting.empty() && !link.wants_write) {
+            watch(to, link, true);
+        }
+        return true;
+    }
+
     bool read_greeting(const instance_id& id, outgoing& link)
     {
         std::array<char, read_bytes> buffer{};
@@ -445,18 +463,27 @@
     }
     outgoing& link = *found->second;
     link.waiting += link.writer->write(to_bytes(m));
-    const bool alive = link.waiting.size() < most_waiting_bytes && impl_->write_waiting(link);
-    if (!alive) {
-        // Told later: the caller is in the middle of its own work.
-        impl_->loop.soon([me = impl_.get(), to] { me->drop(to); });
-        link.ready = false;
-        impl_->events.disconnected(to);
-        return false;
+    if (impl_->held) {
+        impl_->unwritten.insert(to);
+        return true;
     }
-    if (!link.waiting.empty() && !link.wants_write) {
-        impl_->watch(to, link, true);
+    return impl_->write_or_drop(to, link);
+}
+
+void transport::hold_writes()
+{
+    impl_->held = true;
+}
+
+void transport::flush()
+{
+    const auto waiting = std::exchange(impl_->unwritten, {});
+    for (const instance_id& id : waiting) {
+        const auto found = impl_->out.find(id);
+        if (found != impl_->out.end() && found->second->ready) {
+            impl_->write_or_drop(id, *found->second);
+        }
     }
-    return true;
 }
 
 void transport::send_heartbeat(const heartbeat& beat, const std::vector<instance_id>& to)
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -60,8 +60,8 @@
 TEST_CASE("voters: every scheduler becomes one, one at a time")
 {
     const mono_time now{1h};
-    const std::map<instance_id, scheduler_peer> peers{{second, {12, true, now}},
-                                                      {third, {13, true, now}}};
+    const std::map<instance_id, scheduler_peer> peers{{second, {12, {}, true, now}},
+                                                      {third, {13, {}, true, now}}};
     const auto present = voters_of({{self, 11}});
     const auto change = plan_voters(present, self, peers, always, now);
     CHECK(change.what == voter_change::kind::add);
@@ -73,8 +73,8 @@
 TEST_CASE("voters: a wiped disk's successor takes its place in one change")
 {
     const mono_time now{1h};
-    const std::map<instance_id, scheduler_peer> peers{{second, {12, true, now}},
-                                                      {third, {99, true, now}}};
+    const std::map<instance_id, scheduler_peer> peers{{second, {12, {}, true, now}},
+                                                      {third, {99, {}, true, now}}};
     const auto present = voters_of({{self, 11}, {second, 12}, {third, 13}});
     const auto change = plan_voters(present, self, peers, always, now);
     CHECK(change.what == voter_change::kind::replace);
@@ -86,11 +86,11 @@
 TEST_CASE("voters: a dead one is taken out only where three others stay")
 {
     const mono_time now{1h};
-    std::map<instance_id, scheduler_peer> peers{{second, {12, true, now}},
-                                                {third, {13, false, now - 1min}}};
+    std::map<instance_id, scheduler_peer> peers{{second, {12, {}, true, now}},
+                                                {third, {13, {}, false, now - 1min}}};
     const auto three = voters_of({{self, 11}, {second, 12}, {third, 13}});
     CHECK(plan_voters(three, self, peers, always, now).what == voter_change::kind::none);
-    peers[fourth] = {14, true, now};
+    peers[fourth] = {14, {}, true, now};
     const auto four = voters_of({{self, 11}, {second, 12}, {third, 13}, {fourth, 14}});
     const auto change = plan_voters(four, self, peers, always, now);
     CHECK(change.what == voter_change::kind::remove);
