Pools take turns in a round, and more orders may be under way

Cause: with the starts of a round bounded, the pool first by name took them all; another with 10,000 cores free started nothing for seconds.

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds report_lease{4500};
 /** Most orders that wait for their answers. What waits here can still be put in another order or
  * be left for later; what waits in the client's queue can't. */
-constexpr std::size_t most_orders = 96;
+constexpr std::size_t most_orders = 224;
 /** A batch of starts that was not applied for so long is lost with its leader. */
 constexpr milliseconds batch_timeout{3000};
 
@@ -145,10 +145,7 @@
     for (const auto& [id, pool] : shared_.state().doc.pools) {
         loads_[id].arriving_cpu = arrivals_.cpu_milli(id, r.now);
     }
-    for (auto& [pool, jobs] : r.waiting) {
-        scheduler::sort_by_urgency(jobs);
-        start_tasks(r, pool);
-    }
+    start_by_pools(r);
     log_loads();
     if (r.batch.runs.empty()) {
         return;
@@ -156,6 +153,26 @@
     batch_under_way_ = shared_.log.propose_here(r.batch);
 }
 
+void dispatcher::start_by_pools(round& r)
+{
+    std::vector<pool_id> pools;
+    for (auto& [pool, jobs] : r.waiting) {
+        scheduler::sort_by_urgency(jobs);
+        pools.push_back(pool);
+    }
+    if (pools.empty()) {
+        return;
+    }
+    // Another pool is first each time, and none takes what the others could use.
+    std::ranges::rotate(pools, pools.begin() + static_cast<std::ptrdiff_t>(turn_++ % pools.size()));
+    const std::size_t most = r.most_starts;
+    for (std::size_t i = 0; i < pools.size(); ++i) {
+        const std::size_t left = most - std::min(most, r.batch.runs.size());
+        r.most_starts = r.batch.runs.size() + (left + pools.size() - i - 1) / (pools.size() - i);
+        start_tasks(r, pools[i]);
+    }
+}
+
 void dispatcher::log_loads()
 {
     if (last_run_ - loads_logged_ < load_log_period) {
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -55,6 +55,7 @@
     struct round;
 
     void run();
+    void start_by_pools(round& r);
     void log_loads();
     void open_occurrences();
     void gather_servers(round& r);
@@ -82,6 +83,7 @@
     std::unordered_map<jobs::task_id, begun_run> begun_;
     std::unordered_map<jobs::task_id, server_id> failed_on_;
     scheduler::arrival_rate arrivals_;
+    std::size_t turn_{0};
     bool due_{false};
     /** Starts are on their way into the log; the next round waits for them. */
     bool batch_under_way_{false};
