--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace fescue::fleet {
 
 namespace {
@@ -19,6 +21,28 @@
 /** How long the log is given to take a job; callers wait a few seconds. */
 constexpr milliseconds log_patience{2000};
 
+/** What sets a job's treatment apart, for the log. */
+std::string kind_of(const jobs::job_spec& spec)
+{
+    std::string out;
+    const auto add = [&](bool has, const char* word) {
+        if (has) {
+            out += out.empty() ? "" : "+";
+            out += word;
+        }
+    };
+    const auto any = [&](auto member) { return std::ranges::any_of(spec.steps, member); };
+    add(spec.lasting(), "lasting");
+    add(any([](const jobs::step_spec& s) { return s.gang; }), "gang");
+    add(any([](const jobs::step_spec& s) { return s.filler; }), "filler");
+    add(any([](const jobs::step_spec& s) { return s.tail_limit_ms > 0; }), "serving");
+    add(any([](const jobs::step_spec& s) { return s.copies_may_race; }), "racing");
+    add(any([](const jobs::step_spec& s) { return !s.data_rack.empty() || s.same_rack; }), "rack");
+    add(any([](const jobs::step_spec& s) { return s.most_unavailable > 0; }), "guarded");
+    add(spec.repeats.times > 0, "repeated");
+    return out.empty() ? "plain" : out;
+}
+
 wire::forwarded_reply refusal(int status, std::string_view kind, std::string_view detail)
 {
     wire::forwarded_reply out;
@@ -91,6 +115,7 @@
                                 {"queue", queue.id.str()},
                                 {"account", account.str()},
                                 {"steps", cmd.spec.steps.size()},
+                                {"kind", kind_of(cmd.spec)},
                                 {"version", shared_.state().doc.version}});
     shared_.log.propose(
         std::move(cmd), log_patience,
--- /dev/null
+++ b/tests/unit/run_driver_test.cpp
@@ -0,0 +1,264 @@
+#include "fleet/run_driver.h"
+#include "platform.h"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+using namespace fescue;
+using namespace fescue::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const server_id worker{"i-1"};
+const jobs::task_id task{jobs::job_id{0xabc}, 0, 0, 0};
+constexpr std::uint16_t first_port = 28700;
+
+/** A hand-written backend server: the test says what it answers, or that it does not. */
+class scripted_server {
+public:
+    scripted_server(event_loop& loop, std::uint16_t port)
+        : server_{loop, [this](http::exchange_id x, http::request&& in) { take(x, in); }}
+    {
+        REQUIRE_FALSE(server_.listen({"127.0.0.1", port}, {}));
+    }
+
+    bool silent{false};
+    bool answers_starts{true};
+    nlohmann::json active = nlohmann::json::array();
+    std::vector<std::string> calls;
+    std::vector<std::int64_t> leases;
+
+private:
+    void take(http::exchange_id x, const http::request& in)
+    {
+        calls.push_back(in.path);
+        const auto body = nlohmann::json::parse(in.body);
+        leases.push_back(body.value("deadline_ms", std::int64_t{0}));
+        if (silent || (in.path == "/run-start" && !answers_starts)) {
+            return;
+        }
+        if (in.path == "/run-start") {
+            active = {{task.text(), body["attempt"], "", 100, 0}};
+        }
+        const nlohmann::json out{{"wall_clock_ms", clock_ms()},
+                                 {"born", 1},
+                                 {"active", active},
+                                 {"finished", nlohmann::json::array()}};
+        server_.respond(x, {200, "application/json", out.dump(), {}});
+    }
+
+    static std::int64_t clock_ms()
+    {
+        return std::chrono::duration_cast<milliseconds>(mono_clock::now().time_since_epoch())
+            .count();
+    }
+
+    http::server server_;
+};
+
+/** A leader with a log of its own and one task that begins on one server. */
+class one_leader {
+public:
+    one_leader()
+    {
+        settings.id = instance_id{"127.0.0.1"};
+        log.replica().form(7, loop.now());
+        drive(300ms);
+        REQUIRE(log.replica().settled());
+        driver.lead();
+        jobs::job_spec spec;
+        spec.steps.resize(1);
+        spec.steps[0].lasting = true;
+        log.propose_here(jobs::submit_job{task.job, jobs::queue_id{"q"}, {}, {}, spec, 1});
+        drive(50ms);
+    }
+
+    void report(std::uint16_t port)
+    {
+        jobs::server_report r;
+        r.id = worker;
+        r.life = 1;
+        r.sequence = ++sequence_;
+        r.address = "127.0.0.1:" + std::to_string(port);
+        r.capacity = {64'000, 1000, 0};
+        r.clock_ms =
+            std::chrono::duration_cast<milliseconds>(loop.now().time_since_epoch()).count();
+        driver.heard(r);
+    }
+
+    void begin() { log.propose_here(jobs::begin_runs{{{{task, 1}, worker, 1}}}); }
+
+    /** Runs the loop until something holds. @return whether it did in time. */
+    bool until(const std::function<bool()>& holds, milliseconds most)
+    {
+        const mono_time end = loop.now() + most;
+        while (!holds() && loop.now() < end) {
+            drive(20ms);
+        }
+        return holds();
+    }
+
+    void drive(milliseconds time)
+    {
+        const auto stop = loop.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    bool waits() const
+    {
+        const jobs::task* t = log.state().find(task);
+        return t != nullptr && t->phase == jobs::task_phase::waiting;
+    }
+
+    event_loop loop;
+    settings::job_service_settings settings;
+    protocol wire{platform::make_protocol()};
+    http::client client{loop};
+    relay orders{loop, client, [](const instance_id&, const wire::message&) { return false; }};
+    metrics counters;
+    std::vector<jobs::end_run> ends;
+    job_log log{loop,
+                instance_id{"127.0.0.1"},
+                1,
+                replication::any_store{store::memory_store{}},
+                {},
+                {[](const instance_id&, const wire::message&) { return false; },
+                 [this](const jobs::command& cmd, const jobs::outcome&) { applied(cmd); }, [] {},
+                 [](const error&) {}}};
+    core_context shared{loop, settings, wire, client, orders, log, counters};
+    run_driver driver{shared, [] {}};
+
+private:
+    void applied(const jobs::command& cmd)
+    {
+        driver.applied(cmd);
+        if (const auto* e = std::get_if<jobs::end_runs>(&cmd)) {
+            ends.insert(ends.end(), e->ends.begin(), e->ends.end());
+        }
+    }
+
+    std::uint64_t sequence_{0};
+    timer_handle ticker_{loop.every(10ms, [this] { driver.tick(); })};
+};
+
+} // namespace
+
+TEST_CASE("driver: an order that never left is no doubt, the task goes elsewhere at once")
+{
+    one_leader leader;
+    leader.report(first_port); // Nobody listens there.
+    leader.begin();
+    REQUIRE(leader.until([&] { return !leader.ends.empty(); }, 1s));
+    CHECK(leader.ends[0].how == jobs::run_end::not_begun);
+    CHECK(leader.waits());
+    CHECK_FALSE(leader.driver.servers().at(worker).reachable());
+}
+
+TEST_CASE("driver: a start without an answer is stopped before it counts as not begun")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 1};
+    server.answers_starts = false;
+    leader.report(first_port + 1);
+    leader.begin();
+    REQUIRE(leader.until([&] { return !leader.ends.empty(); }, 4s));
+    CHECK(leader.ends[0].how == jobs::run_end::not_begun);
+    const auto stop = std::ranges::find(server.calls, "/run-stop");
+    const auto look = std::find(stop, server.calls.end(), "/hold");
+    CHECK(stop != server.calls.end());
+    CHECK(look != server.calls.end());
+}
+
+TEST_CASE(
+    "driver: a server that falls silent keeps the lease that it has, and its runs are given up")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 2};
+    leader.report(first_port + 2);
+    leader.begin();
+    REQUIRE(leader.until([&] { return leader.driver.at_work(task); }, 2s));
+    server.silent = true;
+    server.calls.clear();
+    server.leases.clear();
+    // Long before the lease is over the task no longer counts as at work.
+    CHECK(leader.until([&] { return !leader.driver.at_work(task); }, 2500ms));
+    CHECK(leader.ends.empty());
+    REQUIRE(leader.until([&] { return !leader.ends.empty(); }, 8s));
+    CHECK(leader.ends[0].how == jobs::run_end::lost);
+    REQUIRE(server.leases.size() >= 2);
+    CHECK(std::ranges::count_if(server.leases, [](std::int64_t l) { return l > 0; }) <= 1);
+}
+
+TEST_CASE("driver: a server that starts again has lost what it ran")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 3};
+    leader.report(first_port + 3);
+    leader.begin();
+    REQUIRE(leader.until([&] { return leader.driver.at_work(task); }, 2s));
+    jobs::server_report again = leader.driver.servers().at(worker).report;
+    again.life = 2;
+    again.sequence = 1;
+    leader.driver.heard(again);
+    REQUIRE(leader.until([&] { return !leader.ends.empty(); }, 1s));
+    CHECK(leader.ends[0].how == jobs::run_end::lost);
+}
+
+TEST_CASE("driver: a cancelled job's task is stopped, and a run that the log does not know too")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 4};
+    leader.report(first_port + 4);
+    leader.begin();
+    REQUIRE(leader.until([&] { return leader.driver.at_work(task); }, 2s));
+    leader.log.propose_here(jobs::cancel_job{task.job, 2});
+    const auto stops = [&] { return std::ranges::count(server.calls, "/run-stop"); };
+    CHECK(leader.until([&] { return stops() >= 1; }, 500ms));
+    const jobs::task_id stray{jobs::job_id{0xdef}, 0, 0, 0};
+    server.active.push_back({stray.text(), 4, "", 10, 0});
+    const auto before = stops();
+    CHECK(leader.until([&] { return stops() > before; }, 3s));
+}
+
+TEST_CASE("client: a request that was given up does not reach its server later")
+{
+    event_loop loop;
+    http::client client{loop};
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&at);
+    REQUIRE(bind(listener, generic, sizeof at) == 0);
+    REQUIRE(listen(listener, 4) == 0);
+    socklen_t size = sizeof at;
+    getsockname(listener, generic, &size);
+    http::client_request request;
+    request.url = "http://127.0.0.1:" + std::to_string(ntohs(at.sin_port)) + "/order";
+    request.body = "{}";
+    request.timeout = 200ms;
+    http::delivery how = http::delivery::answered;
+    client.send(std::move(request), [&](http::client_response&& r) {
+        how = r.how;
+        loop.stop();
+    });
+    loop.run();
+    CHECK(how == http::delivery::lost);
+    // The client's end is reset, not closed: what was still queued would be dropped with it.
+    const int fd = accept(listener, nullptr, nullptr);
+    std::array<char, 4096> buffer{};
+    ssize_t got = 0;
+    while ((got = recv(fd, buffer.data(), buffer.size(), 0)) > 0) {
+    }
+    CHECK(got == -1);
+    CHECK(errno == ECONNRESET);
+    close(fd);
+    close(listener);
+}
