--- a/include/fescuestream/scheduler/pool_plan.h
+++ b/include/fescuestream/scheduler/pool_plan.h
@@ -82,7 +82,7 @@
         mono_time at{};
     };
     void lend(const std::vector<pool_need>& pools, std::vector<movable_machine>& free,
-              std::vector<pool_move>& out, mono_time now);
+              std::vector<pool_move>& out);
     void give_back(const std::vector<pool_need>& pools, std::vector<movable_machine>& free,
                    std::vector<pool_move>& out, mono_time now);
 
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -164,8 +164,8 @@
         return;
     }
     // Another pool is first each time, and none takes what the others could use.
-    std::rotate(pools.begin(),
-                pools.begin() + static_cast<std::ptrdiff_t>(turn_++ % pools.size()), pools.end());
+    std::rotate(pools.begin(), pools.begin() + static_cast<std::ptrdiff_t>(turn_++ % pools.size()),
+                pools.end());
     const std::size_t most = r.most_starts;
     for (std::size_t i = 0; i < pools.size(); ++i) {
         const std::size_t left = most - std::min(most, r.batch.runs.size());
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -632,7 +632,9 @@
         run->percent = a.percent;
         run->figure = a.figure;
         run->checkpoint = a.checkpoint;
-        if (a.percent >= 100 && !run->at_work_since) {
+        if (a.percent < 100) {
+            run->at_work_since.reset();
+        } else if (!run->at_work_since) {
             run->at_work_since = now;
         }
     }
--- a/src/scheduler/pool_plan.cpp
+++ b/src/scheduler/pool_plan.cpp
@@ -47,7 +47,7 @@
         }
     }
     std::vector<pool_move> out;
-    lend(pools, free, out, now);
+    lend(pools, free, out);
     std::erase_if(free, [&](const movable_machine& m) {
         return std::ranges::any_of(out, [&](const pool_move& o) { return o.machine == m.id; });
     });
@@ -56,7 +56,7 @@
 }
 
 void pool_planner::lend(const std::vector<pool_need>& pools, std::vector<movable_machine>& free,
-                        std::vector<pool_move>& out, mono_time now)
+                        std::vector<pool_move>& out)
 {
     std::map<pool_id, std::int64_t> spare;
     for (const pool_need& p : pools) {
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -196,6 +196,19 @@
     CHECK(std::ranges::count_if(server.leases, [](std::int64_t l) { return l > 0; }) <= 1);
 }
 
+TEST_CASE("driver: a task that falls below its full work counts as away")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 5};
+    leader.report(first_port + 5);
+    leader.begin();
+    REQUIRE(leader.until([&] { return leader.driver.at_work(task); }, 2s));
+    server.active[0][3] = 40;
+    CHECK(leader.until([&] { return !leader.driver.at_work(task); }, 2s));
+    server.active[0][3] = 100;
+    CHECK(leader.until([&] { return leader.driver.at_work(task); }, 2s));
+}
+
 TEST_CASE("driver: a server that starts again has lost what it ran")
 {
     one_leader leader;
