Machine orders keep their term and time in the state; more connections to a server

Also an order of an earlier leader that was applied under the new term counted as the new leader's own (found by reading).

--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -179,11 +179,14 @@
     std::string machine;
     /** Empty: maintenance. */
     pool_id to;
+    /** Term of the leader that gives the order. */
+    term_number term{0};
+    wall_ms now{0};
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(machine, to);
+        archive(machine, to, term, now);
     }
 };
 
--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -130,12 +130,25 @@
     }
 };
 
+/** The newest order for a machine. */
+struct machine_order {
+    term_number term{0};
+    wall_ms at{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(term, at);
+    }
+};
+
 /** Everything that the voters agree on. */
 struct state {
     document doc;
     std::set<data_centre_id> out_of_service;
     std::map<job_id, job> jobs;
     std::map<std::string, upkeep_wave> waves;
+    std::map<std::string, machine_order> machine_orders;
 
     // Derived from the above; not part of a snapshot.
     /** Jobs that are not over, or of which something still runs. */
@@ -158,7 +171,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(doc, out_of_service, jobs, waves);
+        archive(doc, out_of_service, jobs, waves, machine_orders);
     }
 };
 
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -23,13 +23,17 @@
 /** What a machine takes beyond its time of maintenance until the list shows it. */
 constexpr milliseconds noticing_time{1000};
 constexpr milliseconds plan_period{100};
+/** An order that is applied this soon after it was given is taken for one of this moment. */
+constexpr milliseconds fresh_order{500};
+/** The most that two machines' wall clocks are taken to differ; a step of one may be 2 s. */
+constexpr milliseconds clocks_differ{2000};
 /** Added to the machine service's lease on its last holder. */
 constexpr milliseconds holder_margin{500};
 
 } // namespace
 
 machine_driver::machine_driver(core_context& shared, run_driver& driver, dispatcher& work)
-    : shared_{shared}, driver_{driver}, work_{work}, started_{shared.now()}
+    : shared_{shared}, driver_{driver}, work_{work}
 {
 }
 
@@ -39,7 +43,7 @@
     if (order == nullptr) {
         return;
     }
-    noted_[order->machine] = {shared_.fence(), shared_.now()};
+    note(order->machine, {order->term, order->now});
     if (driver_.leading() && shared_.leads() && !order->to.empty()) {
         send_move(order->machine, order->to);
     }
@@ -56,16 +60,32 @@
     planner_ = scheduler::pool_planner{};
 }
 
+void machine_driver::restored()
+{
+    noted_.clear();
+    for (const auto& [machine, order] : shared_.state().machine_orders) {
+        note(machine, order);
+    }
+}
+
+void machine_driver::note(const std::string& machine, const jobs::machine_order& order)
+{
+    const milliseconds age{std::max<std::int64_t>(0, wall_now() - order.at)};
+    // An order that is read from the disk is as old as two wall clocks say, which may differ.
+    const bool fresh = age < fresh_order;
+    const mono_time at = fresh ? shared_.now() : shared_.now() - age + clocks_differ;
+    noted_[machine] = {order.term, at};
+}
+
 bool machine_driver::may_order(const std::string& machine) const
 {
     const milliseconds lease =
         milliseconds{shared_.settings.bounds.machine_lease_ms} + holder_margin;
     const mono_time now = shared_.now();
     const auto noted = noted_.find(machine);
-    if (noted == noted_.end()) {
-        return shared_.leads() && (term_ == 1 || now - started_ >= lease);
-    }
-    return shared_.leads() && (noted->second.term == term_ || now - noted->second.at >= lease);
+    const bool free =
+        noted == noted_.end() || noted->second.term == term_ || now - noted->second.at >= lease;
+    return free && shared_.leads();
 }
 
 void machine_driver::tick()
@@ -315,7 +335,7 @@
     }
     orders_[machine] = {true, false, shared_.now(), {}};
     shared_.counters.count("machine_orders");
-    shared_.log.propose_here(jobs::order_machine{machine, {}});
+    shared_.log.propose_here(jobs::order_machine{machine, {}, term_, wall_now()});
     log::info("upkeep_order", {{"machine", machine}, {"wave", wave}, {"fence", term_}});
     shared_.client.send(shared_.wire.begin_upkeep(shared_.settings.machines.address, machine, wave,
                                                   {shared_.settings.name, term_}),
@@ -441,7 +461,7 @@
                              {"to", move.to.str()},
                              {"why", move.why},
                              {"fence", term_}});
-    shared_.log.propose_here(jobs::order_machine{move.machine, move.to});
+    shared_.log.propose_here(jobs::order_machine{move.machine, move.to, term_, wall_now()});
 }
 
 void machine_driver::send_move(const std::string& machine, const pool_id& to)
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -27,6 +27,8 @@
     void tick();
     /** Called on every scheduler, leading or not. */
     void applied(const jobs::command& cmd);
+    /** The state came as a snapshot. */
+    void restored();
 
 private:
     /** An order that was sent for a machine. */
@@ -73,14 +75,14 @@
     std::map<std::string, order> orders_;
     /** Machines that are being emptied for maintenance, with the servers on them. */
     std::map<std::string, server_id> withheld_;
-    /** The newest order for each machine in the log: its term, and when it was applied here. */
+    /** The newest order for each machine in the log: its term, and when it was given at the
+     * latest. A machine that is not here was never ordered. */
     struct noted_order {
         term_number term{0};
         mono_time at{};
     };
+    void note(const std::string& machine, const jobs::machine_order& order);
     std::map<std::string, noted_order> noted_;
-    /** Orders before this instance's start are not known to it. */
-    mono_time started_;
     mono_time list_read_{};
     mono_time last_plan_{};
     bool reading_{false};
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -31,8 +31,9 @@
 constexpr int unavailable = 503;
 constexpr int ok_status = 200;
 /** The state is small, the log's entries are not: memory is what the bound is for. */
-/** One connection for the look that waits at a server, the others for orders. */
-constexpr http::client_limits connections{3, 1200};
+/** One connection for the look that waits at a server, the others for orders; some of these wait a
+ * second for an answer that does not come. */
+constexpr http::client_limits connections{8, 1200};
 /** Followers decide nothing, so commits reach them with the next entries or a little later. */
 constexpr consensus::timing intervals{milliseconds{200}, milliseconds{600}, milliseconds{3000},
                                       milliseconds{60}};
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -281,9 +281,9 @@
     return {std::nullopt, true};
 }
 
-outcome act(state& /*s*/, const order_machine& /*cmd*/)
+outcome act(state& s, const order_machine& cmd)
 {
-    // Nothing is kept: each instance notes when it applied the order.
+    s.machine_orders[cmd.machine] = {cmd.term, cmd.now};
     return {std::nullopt, true};
 }
 
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -272,6 +272,7 @@
     apply(s, set_data_centre{data_centre_id{"north"}, false});
     apply(s, start_upkeep{"1", {"m"}, 1000, 1, noon});
     apply(s, step_upkeep{"1", "m", false, false});
+    apply(s, order_machine{"m", pool_id{"pool"}, 3, noon});
     const auto read = machine::decode_state(machine::encode_state(s));
     REQUIRE(ok(read));
     const state& t = value(read);
@@ -282,6 +283,7 @@
     CHECK(t.find(task_of(0, 1))->checkpoint == "saved");
     CHECK(t.waves.at("1").machines.at("m").begun);
     CHECK_FALSE(t.waves.at("1").is_done());
+    CHECK(t.machine_orders.at("m").term == 3);
     CHECK_FALSE(ok(machine::decode_state(machine::encode_state(s).substr(0, 40))));
 }
 
