An upkeep or move that was done before ends no server; SIGHUP reads the settings again

Only reports, looks and leases say now that a server has ended, and a withheld server that is up again takes work. Cause 2: SIGHUP ended the processes.

--- a/apps/fescued.cpp
+++ b/apps/fescued.cpp
@@ -86,8 +86,25 @@
     return out;
 }
 
+/** Reads the settings again; a file with faults changes nothing. */
 template <class Instance>
-int run_jobs(fescue::event_loop& loop, Instance& instance, const std::string& name)
+void reload(Instance& instance, const std::string& file)
+{
+    const auto text = fescue::settings::read_text(file);
+    const auto read = fescue::settings::parse_job_service(text.value_or(""));
+    if (const auto* faults = std::get_if<fescue::json::faults>(&read)) {
+        fescue::log::warning("reload_refused",
+                             {{"file", file}, {"why", fescue::json::to_text(*faults)}});
+        return;
+    }
+    const auto& now = std::get<fescue::settings::job_service_settings>(read);
+    fescue::log::info("reloaded", {{"file", file}, {"seeds", now.seeds.size()}});
+    instance.reload(now);
+}
+
+template <class Instance>
+int run_jobs(fescue::event_loop& loop, Instance& instance, const std::string& name,
+             const std::string& file)
 {
     if (const auto fault = instance.start()) {
         fescue::log::failure("cannot_start", {{"instance", name}, {"why", fault->detail}});
@@ -95,6 +112,7 @@
     }
     loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
     loop.on_signal(SIGINT, [&] { instance.shut_down(); });
+    loop.on_signal(SIGHUP, [&] { reload(instance, file); });
     loop.at_round_end([] { fescue::log::flush(); });
     fescue::log::batch(true);
     loop.run();
@@ -103,7 +121,7 @@
 }
 
 /** An instance of the job service; settings that name a role ask for one. */
-int run(const fescue::settings::job_service_settings& settings)
+int run(const fescue::settings::job_service_settings& settings, const std::string& file)
 {
     fescue::log::set_level(settings.log_level);
     fescue::event_loop loop;
@@ -117,11 +135,11 @@
                                   {"version", version}});
     if (scheduler) {
         fescue::fleet::scheduler_instance instance{loop, settings, wire};
-        const int code = run_jobs(loop, instance, settings.name);
+        const int code = run_jobs(loop, instance, settings.name, file);
         return code != 0 ? code : instance.exit_status();
     }
     fescue::fleet::entry_instance instance{loop, settings, wire};
-    return run_jobs(loop, instance, settings.name);
+    return run_jobs(loop, instance, settings.name, file);
 }
 
 int run(fescue::settings::instance_settings settings)
@@ -166,7 +184,7 @@
             fmt::print("{}: ok\n", opts.config);
             return 0;
         }
-        return run(std::get<fescue::settings::job_service_settings>(read));
+        return run(std::get<fescue::settings::job_service_settings>(read), opts.config);
     }
     auto loaded = fescue::settings::load(opts.config);
     if (const auto* faults = std::get_if<fescue::json::faults>(&loaded)) {
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -259,6 +259,13 @@
     return impl_->start();
 }
 
+void entry_instance::reload(const settings::job_service_settings& now)
+{
+    for (const std::string& seed : now.seeds) {
+        impl_->peers->add_scheduler(instance_id{seed});
+    }
+}
+
 void entry_instance::shut_down()
 {
     impl_->shut_down();
--- a/src/fleet/entry_instance.h
+++ b/src/fleet/entry_instance.h
@@ -25,6 +25,8 @@
     status start();
     /** Begins a planned stop: new connections go elsewhere, open calls are answered. */
     void shut_down();
+    /** Takes over what may change while running: further seeds. */
+    void reload(const settings::job_service_settings& now);
 
     struct impl;
 
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -317,6 +317,9 @@
     }
     if (list_is_newer && entry != nullptr && entry->state == machine_state::up) {
         log::info("upkeep_done", {{"machine", machine}, {"wave", wave}});
+        // The order may have been carried out long before, for an earlier leader: then this is the
+        // server that runs there now.
+        driver_.withhold(entry->server, false);
         orders_.erase(known);
         withheld_.erase(machine);
         shared_.log.propose_here(jobs::step_upkeep{wave, machine, true, false});
@@ -356,9 +359,6 @@
     if (r == machine_result::accepted) {
         o.accepted = true;
         o.sent = shared_.now();
-        if (const auto server = withheld_.find(machine); server != withheld_.end()) {
-            driver_.left(server->second);
-        }
     } else if (r == machine_result::no_such_machine || r == machine_result::not_in_wave) {
         orders_.erase(machine);
         withheld_.erase(machine);
@@ -443,6 +443,9 @@
         const bool there = is_move && o.accepted && list_is_newer && !reading_ &&
                            entry != nullptr && entry->state != machine_state::moving;
         const bool unknown = is_move && !o.under_way && !o.accepted && now - o.sent > order_retry;
+        if (there) {
+            driver_.withhold(entry->server, false);
+        }
         at = there || unknown ? orders_.erase(at) : std::next(at);
     }
     for (const scheduler::pool_move& move : planner_.plan(pool_needs(), movable(), now)) {
@@ -496,9 +499,7 @@
             o.under_way = false;
             o.accepted = r == machine_result::accepted;
             o.sent = shared_.now();
-            if (o.accepted) {
-                driver_.left(server);
-            } else if (r != machine_result::unknown) {
+            if (!o.accepted && r != machine_result::unknown) {
                 driver_.withhold(server, false);
                 orders_.erase(machine);
             }
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -430,6 +430,13 @@
     return impl_->start();
 }
 
+void scheduler_instance::reload(const settings::job_service_settings& now)
+{
+    for (const std::string& seed : now.seeds) {
+        impl_->peers->add_scheduler(instance_id{seed});
+    }
+}
+
 void scheduler_instance::shut_down()
 {
     impl_->shut_down();
--- a/src/fleet/scheduler_instance.h
+++ b/src/fleet/scheduler_instance.h
@@ -25,6 +25,8 @@
     status start();
     /** Begins a planned stop; the loop ends when it is through. */
     void shut_down();
+    /** Takes over what may change while running: further seeds. */
+    void reload(const settings::job_service_settings& now);
     int exit_status() const noexcept;
 
     struct impl;
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -1,3 +1,5 @@
+#include "fleet/dispatcher.h"
+#include "fleet/machine_driver.h"
 #include "fleet/run_driver.h"
 #include "platform.h"
 
@@ -240,6 +242,49 @@
     CHECK(leader.until([&] { return stops() > before; }, 3s));
 }
 
+TEST_CASE("machines: an upkeep that was done before leaves the server that runs there now alone")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 6};
+    int orders = 0;
+    const nlohmann::json list{{"machines",
+                               {{{"machine", "m-1"},
+                                 {"pool", "p"},
+                                 {"state", "up"},
+                                 {"zone", "z"},
+                                 {"labels", {"a", "r1"}},
+                                 {"capacity", {{"cpu", 64000}, {"mem_mb", 1000}, {"gpu", 0}}},
+                                 {"id", worker.str()}}}},
+                              {"next_token", nullptr}};
+    http::server* answers = nullptr;
+    http::server service{leader.loop, [&](http::exchange_id x, http::request&& in) {
+                             orders += in.method == "POST" ? 1 : 0;
+                             answers->respond(x, {200, "application/json", list.dump(), {}});
+                         }};
+    answers = &service;
+    REQUIRE_FALSE(service.listen({"127.0.0.1", first_port + 7}, {}));
+    leader.settings.machines.address = "127.0.0.1:" + std::to_string(first_port + 7);
+    leader.settings.bounds.upkeep_ms = 200;
+    jobs::document doc;
+    doc.version = 1;
+    doc.pools.emplace(pool_id{"p"}, jobs::job_pool{});
+    leader.log.propose_here(jobs::put_document{doc});
+    leader.log.propose_here(jobs::start_upkeep{"1", {"m-1"}, 20'000, 1, wall_now()});
+    // An earlier leader began it, and it was carried out: the service says so to the second order.
+    leader.log.propose_here(jobs::step_upkeep{"1", "m-1", false, false});
+    leader.report(first_port + 6);
+    leader.drive(100ms);
+    dispatcher work{leader.shared, leader.driver};
+    machine_driver machines{leader.shared, leader.driver, work};
+    machines.lead();
+    const auto ticker = leader.loop.every(20ms, [&] { machines.tick(); });
+    REQUIRE(leader.until([&] { return leader.log.state().waves.at("1").is_done(); }, 5s));
+    CHECK(orders == 1);
+    const server_view& view = leader.driver.servers().at(worker);
+    CHECK_FALSE(view.left);
+    CHECK_FALSE(view.withheld);
+}
+
 TEST_CASE("client: a request that was given up does not reach its server later")
 {
     event_loop loop;
