--- /dev/null
+++ b/src/fleet/run_orders.cpp
@@ -0,0 +1,221 @@
+#include "run_driver.h"
+
+#include "run_limits.h"
+
+#include "fescuestream/base/log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace fescue::fleet {
+
+using jobs::run_end;
+using jobs::task_id;
+
+// ---- stops
+
+void run_driver::stop(const task_id& task, const std::string& why)
+{
+    const auto [view, run] = locate(task);
+    if (run == nullptr || !run->stop_why.empty()) {
+        return;
+    }
+    run->stop_why = why;
+    log::info("run_stop", {{"task", task.text()},
+                           {"attempt", run->attempt},
+                           {"server", view->report.id.str()},
+                           {"why", why}});
+    send_stop(*view, task, *run);
+}
+
+void run_driver::stop_all(const jobs::job_id& job, const std::string& why)
+{
+    std::vector<task_id> tasks;
+    for (const auto& [id, view] : servers_) {
+        const auto first = view.runs.lower_bound(task_id{job, 0, 0, 0});
+        for (auto at = first; at != view.runs.end() && at->first.job == job; ++at) {
+            tasks.push_back(at->first);
+        }
+    }
+    for (const task_id& t : tasks) {
+        stop(t, why);
+    }
+}
+
+void run_driver::stop_gang(const task_id& task)
+{
+    const auto* spec = shared_.state().spec_of(task);
+    if (spec == nullptr || !spec->gang) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < spec->tasks; ++i) {
+        if (i != task.index) {
+            stop({task.job, task.occurrence, task.step, i}, "gang_member_ended");
+        }
+    }
+}
+
+void run_driver::send_stop(server_view& view, const task_id& task, run_view& run)
+{
+    if (run.stop_under_way || view.report.address.empty() || view.left || !shared_.leads()) {
+        return;
+    }
+    run.stop_under_way = true;
+    run.stop_tried = shared_.now();
+    const jobs::run_id name{task, run.attempt};
+    ++under_way_;
+    send_order(view, shared_.wire.stop(address_of(view), {name, term_}),
+               [this, id = view.report.id, name, term = term_](auto&& response) {
+                   --under_way_;
+                   if (leading_ && term == term_) {
+                       stop_answered(id, name, shared_.wire.read_order_reply(response));
+                   }
+               });
+}
+
+void run_driver::stop_answered(const server_id& id, const jobs::run_id& name,
+                               const order_reply& reply)
+{
+    run_view* run = find_run(id, name);
+    if (run == nullptr) {
+        return;
+    }
+    run->stop_under_way = false;
+    if (reply.result == order_result::accepted || reply.result == order_result::outdated) {
+        run->stop_answered = true;
+        run->shown_from = shared_.now();
+        servers_.at(id).next_look = std::min(servers_.at(id).next_look, shared_.now());
+        return;
+    }
+    if (!run->stop_failed) {
+        run->stop_failed = true;
+        log::info(
+            "stop_not_taken",
+            {{"task", name.task.text()}, {"server", id.str()}, {"answer", name_of(reply.result)}});
+    }
+}
+
+// ---- starts
+
+void run_driver::send_order(const server_view& view, http::client_request&& request,
+                            http::client::callback done)
+{
+    shared_.orders.send(view.report.data_centre, std::hash<server_id>{}(view.report.id),
+                        std::move(request), std::move(done));
+}
+
+server_address run_driver::address_of(const server_view& view) const
+{
+    return {view.report.address, view.report.id};
+}
+
+run_view* run_driver::find_run(const server_id& id, const jobs::run_id& run)
+{
+    const auto server = servers_.find(id);
+    if (server == servers_.end()) {
+        return nullptr;
+    }
+    const auto found = server->second.runs.find(run.task);
+    const bool same = found != server->second.runs.end() && found->second.attempt == run.attempt;
+    return same ? &found->second : nullptr;
+}
+
+std::int64_t run_driver::extend_lease(server_view& view, mono_time now)
+{
+    const auto shows = view.clock.at_least(now);
+    if (!shows) {
+        return 0;
+    }
+    const std::int64_t end = *shows + lease_for(shared_.settings.bounds);
+    view.lease_end_ms = std::max(view.lease_end_ms, end);
+    return view.lease_end_ms;
+}
+
+void run_driver::send_start(server_view& view, const task_id& task, run_view& run)
+{
+    const mono_time now = shared_.now();
+    start_order order;
+    order.run = {task, run.attempt};
+    order.payload = shared_.state().jobs.at(task.job).spec.payload;
+    order.lease_end_ms = extend_lease(view, now);
+    order.fence = term_;
+    order.checkpoint = shared_.state().find(task)->checkpoint;
+    const auto ticket = tickets_.find(order.run);
+    order.ticket = ticket == tickets_.end() ? "" : ticket->second;
+    ++under_way_;
+    shared_.counters.count("run_starts");
+    const jobs::run_id name = order.run;
+    send_order(view, shared_.wire.start(address_of(view), order),
+               [this, id = view.report.id, name, now, term = term_](auto&& response) {
+                   --under_way_;
+                   if (leading_ && term == term_) {
+                       start_answered(id, name, shared_.wire.read_order_reply(response), now);
+                   }
+               });
+}
+
+void run_driver::start_answered(const server_id& id, const jobs::run_id& name,
+                                const order_reply& reply, mono_time sent)
+{
+    run_view* run = find_run(id, name);
+    if (run == nullptr) {
+        return;
+    }
+    server_view& view = servers_.at(id);
+    const mono_time now = shared_.now();
+    shared_.counters.observe(latency_kind::server_order, now - sent);
+    if (reply.clock_ms) {
+        view.clock.read(*reply.clock_ms, now);
+    }
+    if (reply.result == order_result::accepted) {
+        run->stage = run_stage::confirmed;
+        run->shown_from = now;
+        view.misses = 0;
+        view.next_look = std::min(view.next_look, now + look_pause());
+        return;
+    }
+    shared_.counters.count(fmt::format("starts_refused_{}", name_of(reply.result)));
+    log::info("start_not_taken",
+              {{"task", name.task.text()},
+               {"attempt", name.attempt},
+               {"server", id.str()},
+               {"answer", name_of(reply.result)},
+               {"after_ms", std::chrono::duration_cast<milliseconds>(now - sent).count()}});
+    view.refused_until = now + refusal_pause;
+    if (reply.result == order_result::unknown) {
+        ++view.misses;
+        run->stage = run_stage::in_doubt;
+        run->stop_why = run->stop_why.empty() ? "start_without_answer" : run->stop_why;
+        send_stop(view, name.task, *run);
+        return;
+    }
+    view.misses += reply.result == order_result::not_sent ? 1 : 0;
+    propose_end(name, run_end::not_begun, "", "refused");
+}
+
+void run_driver::pace(const task_id& task, int percent)
+{
+    const auto [view, run] = locate(task);
+    if (run == nullptr || run->pace == percent || run->pace_under_way ||
+        run->stage != run_stage::confirmed || !shared_.leads()) {
+        return;
+    }
+    run->pace_under_way = true;
+    const jobs::run_id name{task, run->attempt};
+    send_order(*view, shared_.wire.pace(address_of(*view), {name, percent, term_}),
+               [this, id = view->report.id, name, percent, term = term_](auto&& response) {
+                   run_view* still = leading_ && term == term_ ? find_run(id, name) : nullptr;
+                   if (still == nullptr) {
+                       return;
+                   }
+                   still->pace_under_way = false;
+                   const auto reply = shared_.wire.read_order_reply(response);
+                   if (reply.result == order_result::accepted) {
+                       still->pace = percent;
+                   }
+               });
+}
+
+} // namespace fescue::fleet
