--- a/src/fleet/run_looks.cpp
+++ b/src/fleet/run_looks.cpp
@@ -12,7 +12,6 @@
 namespace fescue::fleet {
 
 using jobs::run_end;
-using jobs::task_id;
 
 // ---- looks
 
