--- a/include/fescuestream/base/codec.h
+++ b/include/fescuestream/base/codec.h
@@ -45,6 +45,10 @@
         if (size > left_.size()) {
             throw cereal::Exception{"the bytes end too early"};
         }
+        if (size == 0) {
+            // An empty vector has no memory to copy to.
+            return;
+        }
         std::memcpy(out, left_.data(), size);
         left_.remove_prefix(size);
     }
