--- a/tests/fakes/worker_farm.cpp
+++ b/tests/fakes/worker_farm.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <map>
 #include <random>
@@ -32,10 +33,16 @@
     double jobs_per_s{20};
     int tasks{6};
     int task_ms{640};
+    /** Thousandths of a core that each task takes. */
+    int task_cpu{1000};
+    /** Servers stand in so many data centres in turn. */
+    int data_centres{1};
     int seconds{10};
     std::uint64_t seed{1};
 };
 
+constexpr std::array data_centre_names{"north", "south", "west"};
+
 std::int64_t now_ms()
 {
     return std::chrono::duration_cast<milliseconds>(mono_clock::now().time_since_epoch()).count();
@@ -246,7 +253,7 @@
     {
         const json body{{"service", "pool"},
                         {"address", address_},
-                        {"zone", "north"},
+                        {"zone", data_centre_names[static_cast<std::size_t>(number_ % opts_.data_centres)]},
                         {"version", "v1"},
                         {"slots", 8},
                         {"state", "ready"},
@@ -380,7 +387,7 @@
     {
         jobs_[id].since = since;
         const json step{
-            {"count", opts_.tasks}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", opts_.task_ms}};
+            {"count", opts_.tasks}, {"cpu", opts_.task_cpu}, {"mem_mb", 100}, {"estimate_ms", opts_.task_ms}};
         json second = step;
         second["depends_on"] = {0};
         const json body{{"spec", std::string(500, 'x')}, {"steps", {step, second}}};
@@ -463,6 +470,8 @@
                             {"rate", required_argument, nullptr, 'r'},
                             {"tasks", required_argument, nullptr, 't'},
                             {"task-ms", required_argument, nullptr, 'm'},
+                            {"task-cpu", required_argument, nullptr, 'u'},
+                            {"data-centres", required_argument, nullptr, 'd'},
                             {"seconds", required_argument, nullptr, 'n'},
                             {"seed", required_argument, nullptr, 'x'},
                             {nullptr, 0, nullptr, 0}};
@@ -491,6 +500,13 @@
         case 'm':
             out.task_ms = std::stoi(optarg);
             break;
+        case 'u':
+            out.task_cpu = std::stoi(optarg);
+            break;
+        case 'd':
+            out.data_centres =
+                std::clamp(std::stoi(optarg), 1, static_cast<int>(data_centre_names.size()));
+            break;
         case 'n':
             out.seconds = std::stoi(optarg);
             break;
