A round's starts go where the work is, and appends leave before the disk is waited for

Cause: on the grown sites a burst left servers idle (230 in the pool, 140 used, work for 250 waiting). A round of the scheduler took 45 ms from its proposal to its entry applied, and gave the pool with the burst a quarter of what a round may start. The 45 ms: the proposal was made after the log's flush and so waited for the next round of the loop; the appends, meant to be written while the own disk writes, lay in the transport's buffers until the disk was through. Ruled out: the bound on orders under way (20 to 140 of 224), the round itself (2 ms), slow parts. Change: the dispatcher runs before the log's flush, the replica has its sends written out before it syncs, starts are shared out by what each pool can use (scheduler/start_shares).

--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -151,6 +151,9 @@
         send_appends(now, out);
     }
     if (store_.dirty()) {
+        if (out.push) {
+            out.push();
+        }
         if (auto fault = store_.sync()) {
             return fault;
         }
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -82,6 +82,8 @@
     std::function<void(const store::log_entry&)> apply;
     /** Called in place of entries when the state came as a snapshot. */
     std::function<void(const store::snapshot&)> restore;
+    /** Writes out what was sent so far; called before the disk is waited for. May be empty. */
+    std::function<void()> push;
 };
 
 template <log_store Store>
--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -116,6 +116,7 @@
             recent_.clear();
             events_.restored();
         },
+        events_.push,
     };
     if (const auto fault = replica_.flush(loop_.now(), out)) {
         events_.failed(*fault);
--- a/include/fescuestream/replication/replicated.h
+++ b/include/fescuestream/replication/replicated.h
@@ -108,6 +108,8 @@
     std::function<void()> restored;
     /** The disk failed; the instance must stop. */
     std::function<void(const error&)> failed;
+    /** Writes out what was sent so far, before the disk is waited for. May be empty. */
+    std::function<void()> push;
 };
 
 /** When the log is replaced by a snapshot: whichever bound is reached first. */
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -45,6 +45,8 @@
     wall_ms wall{0};
     std::map<pool_id, std::vector<candidate>> servers;
     std::map<pool_id, std::vector<standing>> waiting;
+    /** Tasks that wait in each pool and whose turn has come. */
+    std::map<pool_id, std::size_t> tasks_waiting;
     std::map<team_id, jobs::resources> added;
     jobs::begin_runs batch;
     std::size_t most_starts{0};
@@ -155,22 +157,21 @@
 
 void dispatcher::start_by_pools(round& r)
 {
-    std::vector<pool_id> pools;
+    std::vector<std::size_t> wanted;
     for (auto& [pool, jobs] : r.waiting) {
         scheduler::sort_by_urgency(jobs);
-        pools.push_back(pool);
+        wanted.push_back(r.tasks_waiting.at(pool));
     }
-    if (pools.empty()) {
+    if (wanted.empty()) {
         return;
     }
-    // Another pool is first each time, and none takes what the others could use.
-    std::rotate(pools.begin(), pools.begin() + static_cast<std::ptrdiff_t>(turn_++ % pools.size()),
-                pools.end());
-    const std::size_t most = r.most_starts;
-    for (std::size_t i = 0; i < pools.size(); ++i) {
-        const std::size_t left = most - std::min(most, r.batch.runs.size());
-        r.most_starts = r.batch.runs.size() + (left + pools.size() - i - 1) / (pools.size() - i);
-        start_tasks(r, pools[i]);
+    const auto shares = scheduler::share_starts(r.most_starts, wanted, turn_++);
+    std::size_t i = 0;
+    r.most_starts = 0;
+    for (const auto& [pool, jobs] : r.waiting) {
+        // A pool without room leaves its share to those after it.
+        r.most_starts += shares[i++];
+        start_tasks(r, pool);
     }
 }
 
@@ -256,6 +257,7 @@
                 }
                 if (waiting > 0 && j.may_start(o, i)) {
                     waits = true;
+                    r.tasks_waiting[pool] += static_cast<std::size_t>(waiting);
                     load.wanted_cpu += waiting * j.spec.steps[i].room_needed().cpu_milli;
                 }
             }
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -108,6 +108,12 @@
                                                     out.cluster = log->replica().voters().cluster;
                                                 },
                                                 [this](wire::ping& out) { describe(out); }});
+        // Ahead of the log's own call: what a round starts is written with what came in besides.
+        loop.at_round_end([this] {
+            if (work && !stopping) {
+                work->run_if_due();
+            }
+        });
         make_log(std::move(value(opened)));
         make_parts();
         return open_ports();
@@ -126,7 +132,8 @@
                     work->applied(cmd);
                     machines->applied(cmd);
                 },
-                [this] { log_restored(); }, [this](const error& e) { disk_failed(e); }},
+                [this] { log_restored(); }, [this](const error& e) { disk_failed(e); },
+            [this] { peers->flush(); }},
             snapshots, intervals);
     }
 
@@ -150,12 +157,7 @@
             orders->set_helpers(members->helpers());
         }));
         timers.push_back(loop.every(forget_period, [this] { forget_old_jobs(); }));
-        loop.at_round_end([this] {
-            if (!stopping) {
-                work->run_if_due();
-            }
-            peers->flush();
-        });
+        loop.at_round_end([this] { peers->flush(); });
     }
 
     status open_ports()
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -4,6 +4,7 @@
 #include "fescuestream/scheduler/pool_plan.h"
 #include "fescuestream/scheduler/run_times.h"
 #include "fescuestream/scheduler/server_health.h"
+#include "fescuestream/scheduler/start_shares.h"
 #include "fescuestream/scheduler/upkeep_plan.h"
 
 #include <doctest/doctest.h>
@@ -395,3 +396,25 @@
     CHECK(moves[1].machine == "calm-1");
     CHECK(moves[1].to == pool_id{"busy"});
 }
+
+TEST_CASE("shares: a burst in one pool gets what the others leave of a round")
+{
+    const std::vector<std::size_t> wanted{900, 3, 0, 5};
+    for (std::size_t first = 0; first < wanted.size(); ++first) {
+        const auto shares = share_starts(200, wanted, first);
+        CHECK(shares == std::vector<std::size_t>{192, 3, 0, 5});
+    }
+}
+
+TEST_CASE("shares: bursts in all pools get the same, whoever is first gets the odd one")
+{
+    const std::vector<std::size_t> wanted{900, 900, 900};
+    const auto sum = [](const std::vector<std::size_t>& s) { return s[0] + s[1] + s[2]; };
+    for (std::size_t first = 0; first < wanted.size(); ++first) {
+        const auto shares = share_starts(200, wanted, first);
+        CHECK(sum(shares) == 200);
+        CHECK(shares[first] == 67);
+    }
+    const std::vector<std::size_t> one = share_starts(1, wanted, 1);
+    CHECK(one == std::vector<std::size_t>{0, 1, 0});
+}
