Servers that ended stay ended: passed-on reports carry their age, and ends are told

Cause: an instance kept the newest report of every server it ever heard of and sent them all with each new connection; whoever got them took them as just heard. Change: one table of servers an instance (the driver's); reports are passed on with their age; the leader tells of servers that left, were forgotten, or ended with a move or upkeep of their machine. Tests: driver, "a report that another instance passes on", "who follows drops a server".

--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -411,13 +411,37 @@
 /** What backend servers said of themselves, passed on by the leader so that any instance that
  * follows it knows them at once. */
 struct server_reports {
-    /** Encoded jobs::server_report values. */
-    std::vector<std::string> reports;
+    struct report {
+        /** An encoded jobs::server_report. */
+        std::string bytes;
+        /** Time since the sender last heard of the server: servers that ended long ago would else
+         * come to life with each new connection. */
+        std::int64_t age_ms{0};
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(bytes, age_ms);
+        }
+    };
+    /** A server that ended, and the life of it that did. */
+    struct ended {
+        server_id id;
+        incarnation life{0};
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(id, life);
+        }
+    };
+    std::vector<report> reports;
+    std::vector<ended> gone;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(reports);
+        archive(reports, gone);
     }
 };
 
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -359,6 +359,9 @@
     if (r == machine_result::accepted) {
         o.accepted = true;
         o.sent = shared_.now();
+        if (const machine_entry* entry = entry_of(machine)) {
+            driver_.ended_with_machine(entry->server);
+        }
     } else if (r == machine_result::no_such_machine || r == machine_result::not_in_wave) {
         orders_.erase(machine);
         withheld_.erase(machine);
@@ -499,6 +502,9 @@
             o.under_way = false;
             o.accepted = r == machine_result::accepted;
             o.sent = shared_.now();
+            if (o.accepted) {
+                driver_.ended_with_machine(server);
+            }
             if (!o.accepted && r != machine_result::unknown) {
                 driver_.withhold(server, false);
                 orders_.erase(machine);
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -92,9 +92,9 @@
 
 // ---- what comes in
 
-bool run_driver::heard(const jobs::server_report& report)
+bool run_driver::heard(const jobs::server_report& report, milliseconds age)
 {
-    const mono_time now = shared_.now();
+    const mono_time now = shared_.now() - age;
     auto [at, fresh] = servers_.try_emplace(report.id);
     server_view& view = at->second;
     const jobs::server_report& known = view.report;
@@ -110,7 +110,7 @@
         change_life(view, report);
     }
     view.report = report;
-    view.heard = now;
+    view.heard = std::max(view.heard, now);
     view.clock.read(report.clock_ms, now);
     if (news) {
         log::info("server_seen", {{"server", report.id.str()},
@@ -168,6 +168,24 @@
     found->second.lease_end_ms = 0;
     found->second.heard = shared_.now();
     found->second.next_look = shared_.now() + leaving_margin;
+    gone_.push_back({id, found->second.report.life});
+}
+
+void run_driver::ended_with_machine(const server_id& id)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        gone_.push_back({id, found->second.report.life});
+    }
+}
+
+void run_driver::told_gone(const wire::server_reports::ended& server)
+{
+    const auto found = servers_.find(server.id);
+    const bool known = found != servers_.end() && found->second.report.life <= server.life;
+    if (known && !leading_) {
+        servers_.erase(found);
+    }
 }
 
 void run_driver::applied(const jobs::command& cmd)
@@ -305,6 +323,7 @@
     }
     for (const server_id& id : forgotten) {
         log::info("server_forgotten", {{"server", id.str()}});
+        gone_.push_back({id, servers_.at(id).report.life});
         servers_.erase(id);
     }
     if (!pending_ends_.ends.empty()) {
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -9,6 +9,8 @@
 #include "core_context.h"
 #include "server_view.h"
 
+#include "fescuestream/wire/message.h"
+
 #include <functional>
 #include <map>
 #include <set>
@@ -30,10 +32,17 @@
     void follow();
     bool leading() const noexcept { return leading_; }
 
-    /** A server reported. @return whether its report said something new besides its clock. */
-    bool heard(const jobs::server_report& report);
+    /** A server reported. @param age time since then, when another instance passes it on.
+     * @return whether its report said something new besides its clock. */
+    bool heard(const jobs::server_report& report, milliseconds age = milliseconds{0});
     /** A server said that it ends now. */
     void left(const server_id& id);
+    /** A server ended by an order for its machine; the other instances are to know. */
+    void ended_with_machine(const server_id& id);
+    /** Another instance knows that this life of a server has ended. */
+    void told_gone(const wire::server_reports::ended& server);
+    /** @return servers that ended since the last call. */
+    std::vector<wire::server_reports::ended> take_gone() { return std::exchange(gone_, {}); }
     void applied(const jobs::command& cmd);
     void tick();
 
@@ -94,6 +103,7 @@
     std::unordered_map<jobs::task_id, server_id> where_;
     std::map<jobs::run_id, std::string> tickets_;
     jobs::end_runs pending_ends_;
+    std::vector<wire::server_reports::ended> gone_;
     bool leading_{false};
     term_number term_{0};
     std::size_t under_way_{0};
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -68,7 +68,6 @@
     std::unique_ptr<control_api> control;
     std::unique_ptr<http::server> server;
     std::vector<timer_handle> timers;
-    std::map<server_id, jobs::server_report> reports;
     term_number leading_term{0};
     bool stopping{false};
     int exit_code{0};
@@ -204,6 +203,7 @@
         }
         orders->tick();
         driver->tick();
+        tell_of_ended_servers();
         machines->tick();
         expire_forwards();
     }
@@ -250,17 +250,31 @@
             return;
         }
         wire::server_reports known;
-        for (const auto& [id, r] : reports) {
-            known.reports.push_back(to_bytes(r));
+        for (const auto& [id, view] : driver->servers()) {
+            const auto age = std::chrono::duration_cast<milliseconds>(loop.now() - view.heard);
+            if (!view.left && !view.report.address.empty()) {
+                known.reports.push_back({to_bytes(view.report), age.count()});
+            }
         }
         peers->send(who.from, known);
     }
 
+    void tell_of_ended_servers()
+    {
+        wire::server_reports news;
+        news.gone = driver->take_gone();
+        if (news.gone.empty()) {
+            return;
+        }
+        for (const instance_id& id : members->schedulers()) {
+            peers->send(id, news);
+        }
+    }
+
     void share(const jobs::server_report& report)
     {
-        reports[report.id] = report;
         wire::server_reports news;
-        news.reports.push_back(to_bytes(report));
+        news.reports.push_back({to_bytes(report), 0});
         for (const instance_id& id : members->schedulers()) {
             peers->send(id, news);
         }
@@ -312,14 +326,16 @@
     void take(const instance_id& from, const wire::propose_reply& m) { log->received(from, m); }
     void take(const instance_id& /*from*/, const wire::server_reports& m)
     {
-        for (const std::string& bytes : m.reports) {
-            const auto report = from_bytes<jobs::server_report>(bytes);
+        for (const auto& passed_on : m.reports) {
+            const auto report = from_bytes<jobs::server_report>(passed_on.bytes);
             if (!ok(report)) {
                 log::warning("report_unreadable", {{"why", error_of(report).detail}});
                 continue;
             }
-            reports[value(report).id] = value(report);
-            driver->heard(value(report));
+            driver->heard(value(report), milliseconds{std::max<std::int64_t>(0, passed_on.age_ms)});
+        }
+        for (const auto& server : m.gone) {
+            driver->told_gone(server);
         }
     }
 
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -82,7 +82,7 @@
         drive(50ms);
     }
 
-    void report(std::uint16_t port)
+    void report(std::uint16_t port, milliseconds age = 0ms)
     {
         jobs::server_report r;
         r.id = worker;
@@ -92,7 +92,7 @@
         r.capacity = {64'000, 1000, 0};
         r.clock_ms =
             std::chrono::duration_cast<milliseconds>(loop.now().time_since_epoch()).count();
-        driver.heard(r);
+        driver.heard(r, age);
     }
 
     void begin() { log.propose_here(jobs::begin_runs{{{{task, 1}, worker, 1}}}); }
@@ -211,6 +211,37 @@
     CHECK(leader.until([&] { return leader.driver.at_work(task); }, 2s));
 }
 
+TEST_CASE("driver: a report that another instance passes on is as old as that one says")
+{
+    one_leader leader;
+    leader.report(first_port + 6, 30s);
+    // It ended long ago: it is forgotten again and not taken for a server that has just come.
+    CHECK(leader.loop.now() - leader.driver.servers().at(worker).heard >= 30s);
+    CHECK(leader.until([&] { return leader.driver.servers().empty(); }, 1s));
+    const auto gone = leader.driver.take_gone();
+    REQUIRE(gone.size() == 1);
+    CHECK(gone[0].id == worker);
+    CHECK(leader.driver.take_gone().empty());
+    // An old report does not make a known server look older than it is.
+    leader.report(first_port + 6);
+    leader.report(first_port + 6, 30s);
+    CHECK(leader.loop.now() - leader.driver.servers().at(worker).heard < 5s);
+}
+
+TEST_CASE("driver: who follows drops a server that it is told has ended, who leads does not")
+{
+    one_leader leader;
+    leader.report(first_port + 7);
+    leader.driver.told_gone({worker, 1});
+    CHECK(leader.driver.servers().contains(worker));
+    leader.driver.follow();
+    // Of an earlier life only.
+    leader.driver.told_gone({worker, 0});
+    CHECK(leader.driver.servers().contains(worker));
+    leader.driver.told_gone({worker, 1});
+    CHECK(leader.driver.servers().empty());
+}
+
 TEST_CASE("driver: a server that starts again has lost what it ran")
 {
     one_leader leader;
