A start whose answer was lost is looked for before it is stopped

Its server may have carried it out, and by the time the stop came the task was at work, often just after a cut, when others of its step are away. It also threw sound work away. Ruled out: belief in what was last seen (1.5 s, the rule gives 5.5 s), stops for maintenance (they count each other), moves (only of empty servers). Change: the server is looked at first; a run that it shows is kept, one that it does not is stopped as before. Test: driver, "a start whose answer was lost runs on"; fails before.

--- a/src/fleet/run_looks.cpp
+++ b/src/fleet/run_looks.cpp
@@ -144,7 +144,12 @@
         if (run->stage == run_stage::inherited && t != nullptr && t->life != view.report.life) {
             stop(a.run.task, "order_of_an_earlier_life");
         }
-        if (run->stage != run_stage::in_doubt) {
+        if (run->stage == run_stage::in_doubt && run->stop_why.empty()) {
+            log::info("start_seen_running", {{"task", a.run.task.text()},
+                                             {"attempt", a.run.attempt},
+                                             {"server", view.report.id.str()}});
+        }
+        if (run->stage != run_stage::in_doubt || run->stop_why.empty()) {
             run->stage = run_stage::confirmed;
         }
         run->shown_from = run->shown_from.value_or(now);
@@ -171,6 +176,12 @@
     }
     for (auto& [task, run] : view.runs) {
         const jobs::run_id name{task, run.attempt};
+        const bool unseen = run.stage == run_stage::in_doubt && !listed.contains(name);
+        if (unseen && run.stop_why.empty() && run.doubted_at <= sent) {
+            // It may still come, and must not any more.
+            run.stop_why = "start_without_answer";
+            send_stop(view, task, run);
+        }
         const bool shown =
             run.stage == run_stage::inherited || (run.shown_from && *run.shown_from < sent);
         if (run.end_proposed || listed.contains(name) || !shown) {
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -185,10 +185,11 @@
                {"after_ms", std::chrono::duration_cast<milliseconds>(now - sent).count()}});
     view.refused_until = now + refusal_pause;
     if (reply.result == order_result::unknown) {
+        // It may run soundly: only when the server does not show it, it has to be stopped.
         ++view.misses;
         run->stage = run_stage::in_doubt;
-        run->stop_why = run->stop_why.empty() ? "start_without_answer" : run->stop_why;
-        send_stop(view, name.task, *run);
+        run->doubted_at = now;
+        view.next_look = now;
         return;
     }
     view.misses += reply.result == order_result::not_sent ? 1 : 0;
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -43,7 +43,8 @@
     ordered,
     /** The server has answered that it runs. */
     confirmed,
-    /** The order got no answer: it may be carried out at any time until a stop is answered. */
+    /** The order got no answer: until the server shows the run, it may be carried out at any time
+     * before a stop is answered. */
     in_doubt,
 };
 
@@ -56,6 +57,8 @@
     bool serves{false};
     run_stage stage{run_stage::ordered};
     mono_time ordered_at{};
+    /** When its start was given up as unanswered; only looks sent after that tell anything. */
+    mono_time doubted_at{};
     /** From then on the server's lists show the run if it is there or was there. */
     std::optional<mono_time> shown_from;
     /** Why it is to be stopped; empty: it is not. */
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -33,6 +33,8 @@
 
     bool silent{false};
     bool answers_starts{true};
+    /** Starts without an answer are carried out all the same. */
+    bool runs_unanswered{false};
     nlohmann::json active = nlohmann::json::array();
     std::vector<std::string> calls;
     std::vector<std::int64_t> leases;
@@ -43,12 +45,13 @@
         calls.push_back(in.path);
         const auto body = nlohmann::json::parse(in.body);
         leases.push_back(body.value("deadline_ms", std::int64_t{0}));
-        if (silent || (in.path == "/run-start" && !answers_starts)) {
-            return;
-        }
-        if (in.path == "/run-start") {
+        const bool starts = in.path == "/run-start";
+        if (starts && (answers_starts || runs_unanswered)) {
             active = {{task.text(), body["attempt"], "", 100, 0}};
         }
+        if (silent || (starts && !answers_starts)) {
+            return;
+        }
         const nlohmann::json out{{"wall_clock_ms", clock_ms()},
                                  {"born", 1},
                                  {"active", active},
@@ -178,6 +181,22 @@
     CHECK(look != server.calls.end());
 }
 
+TEST_CASE("driver: a start whose answer was lost runs on where the server shows it")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 8};
+    server.answers_starts = false;
+    server.runs_unanswered = true;
+    leader.report(first_port + 8);
+    leader.begin();
+    REQUIRE(leader.until([&] { return leader.driver.at_work(task); }, 3s));
+    leader.drive(1500ms);
+    // A stop would end a sound task, perhaps while others of its step are away.
+    CHECK(std::ranges::find(server.calls, "/run-stop") == server.calls.end());
+    CHECK(leader.ends.empty());
+    CHECK(leader.driver.at_work(task));
+}
+
 TEST_CASE(
     "driver: a server that falls silent keeps the lease that it has, and its runs are given up")
 {
