The machine service's rates are kept by a budget; settings and members that nothing obeyed are gone

Cause: orders_per_s and reads_per_s were read and checked, and nothing obeyed them; a deployment with a low rate would have had its orders refused by the dozen. far_factor, stop_ms, notice_ms, disturbed_ms, advice_address, tickets, may_wait_for_rack and two members had no use. Change: fleet/call_budget, a token bucket, before each order and each page of the list; one reader of address fields for both kinds of settings; the rest removed, the template with it. Test: fleet, "call budget"; orders are put off and counted (machine_orders_put_off).

--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -42,8 +42,6 @@
     rack_id step_rack;
     /** A server on which the task has just failed; others are preferred. */
     server_id avoid;
-    /** The job can wait for a server on its data's rack. */
-    bool may_wait_for_rack{false};
 };
 
 /** @return whether the server may run the step at all, room aside. */
--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -24,28 +24,21 @@
 struct job_bounds {
     /** Longest lease that a backend server takes. */
     std::int64_t longest_lease_ms{10'000};
-    /** Longest time that a stopped task takes to end. */
-    std::int64_t stop_ms{1000};
     /** Most time between the holders of machine orders. */
     std::int64_t machine_lease_ms{3000};
     /** An ended job is shown at least this long. */
     std::int64_t kept_ms{120'000};
     /** Time from SIGTERM to the end of the process, at most. */
     std::int64_t grace_ms{6000};
-    /** Time that a task may be away for an order, until it counts as back. */
-    std::int64_t notice_ms{4500};
     /** Time that a machine is down for a move, and for its upkeep. */
     std::int64_t move_ms{1500};
     std::int64_t upkeep_ms{2000};
-    /** Time that a serving task may be over its limit. */
-    std::int64_t disturbed_ms{4000};
-    /** Run time is this many times as long away from the data's rack. */
-    double far_factor{3};
 };
 
 struct machine_service {
     /** IP:PORT; empty: there is none. */
     std::string address;
+    /** What it accepts from all instances together. */
     double orders_per_s{1};
     double reads_per_s{1};
 };
@@ -69,7 +62,6 @@
     std::string data_folder;
     std::string cluster_secret;
     machine_service machines;
-    std::string advice_address;
     job_bounds bounds;
     log::level log_level{log::level::info};
 };
--- a/src/fleet/caller_api.h
+++ b/src/fleet/caller_api.h
@@ -6,7 +6,6 @@
  */
 
 #include "core_context.h"
-#include "dispatcher.h"
 
 #include "fescuestream/wire/message.h"
 
@@ -19,7 +18,7 @@
 
 class caller_api {
 public:
-    caller_api(core_context& shared, dispatcher& work) : shared_{shared}, work_{work} {}
+    explicit caller_api(core_context& shared) : shared_{shared} {}
 
     /** Answers a call now or later. This instance leads. */
     void call(const wire::forwarded_call& in, const reply_function& reply);
@@ -36,7 +35,6 @@
                              const jobs::job_id& id) const;
 
     core_context& shared_;
-    dispatcher& work_;
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -50,7 +50,6 @@
 
     const std::map<pool_id, pool_load>& loads() const noexcept { return loads_; }
     const scheduler::run_times& times() const noexcept { return times_; }
-    scheduler::server_health& health() noexcept { return health_; }
 
 private:
     struct round;
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -33,7 +33,9 @@
 } // namespace
 
 machine_driver::machine_driver(core_context& shared, run_driver& driver, dispatcher& work)
-    : shared_{shared}, driver_{driver}, work_{work}
+    : shared_{shared}, driver_{driver}, work_{work},
+      order_budget_{shared.settings.machines.orders_per_s},
+      read_budget_{shared.settings.machines.reads_per_s}
 {
 }
 
@@ -57,6 +59,7 @@
     reading_ = false;
     list_wanted_ = true;
     list_read_ = mono_time{};
+    next_page_.reset();
     planner_ = scheduler::pool_planner{};
 }
 
@@ -113,13 +116,15 @@
 void machine_driver::read_list_if_due()
 {
     const mono_time now = shared_.now();
-    if (reading_ || !list_wanted_ || now - list_read_ < list_period) {
-        return;
+    if (!reading_ && list_wanted_ && now - list_read_ >= list_period) {
+        reading_ = true;
+        list_read_ = now;
+        page_machines_.clear();
+        next_page_ = "";
+    }
+    if (next_page_ && read_budget_.take(now)) {
+        read_page(*std::exchange(next_page_, std::nullopt));
     }
-    reading_ = true;
-    list_read_ = now;
-    page_machines_.clear();
-    read_page("");
 }
 
 void machine_driver::read_page(const std::string& page)
@@ -145,7 +150,8 @@
         page_machines_[m.id] = m;
     }
     if (!value(page).next.empty()) {
-        read_page(value(page).next);
+        next_page_ = value(page).next;
+        read_list_if_due();
         return;
     }
     reading_ = false;
@@ -302,7 +308,7 @@
         }
         return;
     }
-    order& o = known->second;
+    open_order& o = known->second;
     if (!o.accepted) {
         if (!o.under_way && now - o.sent >= order_retry && may_order(machine)) {
             order_upkeep(wave, machine);
@@ -336,6 +342,9 @@
         // Work that was on its way into the log when the upkeep was decided; it is emptied again.
         return;
     }
+    if (!order_budget_.take(shared_.now())) {
+        return;
+    }
     orders_[machine] = {true, false, shared_.now(), {}};
     shared_.counters.count("machine_orders");
     shared_.log.propose_here(jobs::order_machine{machine, {}, term_, wall_now()});
@@ -353,7 +362,7 @@
 void machine_driver::upkeep_answered(const std::string& wave, const std::string& machine,
                                      machine_result r)
 {
-    order& o = orders_[machine];
+    open_order& o = orders_[machine];
     o.under_way = false;
     log::info("upkeep_answer", {{"machine", machine}, {"wave", wave}, {"answer", name_of(r)}});
     if (r == machine_result::accepted) {
@@ -435,7 +444,7 @@
     const slow_log timing{"drive_pools"};
     const mono_time now = shared_.now();
     for (auto at = orders_.begin(); at != orders_.end();) {
-        const order& o = at->second;
+        const open_order& o = at->second;
         const machine_entry* entry = entry_of(at->first);
         const milliseconds move{shared_.settings.bounds.move_ms};
         const bool is_move = !o.to.empty();
@@ -452,6 +461,10 @@
         at = there || unknown ? orders_.erase(at) : std::next(at);
     }
     for (const scheduler::pool_move& move : planner_.plan(pool_needs(), movable(), now)) {
+        if (!order_budget_.take(now)) {
+            shared_.counters.count("machine_orders_put_off");
+            break;
+        }
         order_move(move);
     }
 }
@@ -498,7 +511,7 @@
             }
             const machine_result r = shared_.wire.read_machine_reply(response);
             log::info("move_answer", {{"machine", machine}, {"answer", name_of(r)}});
-            order& o = orders_[machine];
+            open_order& o = orders_[machine];
             o.under_way = false;
             o.accepted = r == machine_result::accepted;
             o.sent = shared_.now();
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -6,6 +6,7 @@
  * one order a machine at a time, under its term as the fence.
  */
 
+#include "call_budget.h"
 #include "core_context.h"
 #include "dispatcher.h"
 #include "run_driver.h"
@@ -14,6 +15,7 @@
 #include "fescuestream/scheduler/upkeep_plan.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,7 +34,7 @@
 
 private:
     /** An order that was sent for a machine. */
-    struct order {
+    struct open_order {
         bool under_way{false};
         bool accepted{false};
         mono_time sent{};
@@ -72,7 +74,7 @@
     std::map<std::string, machine_entry> page_machines_;
     /** Pools as the first list showed them. */
     std::map<pool_id, std::size_t> own_machines_;
-    std::map<std::string, order> orders_;
+    std::map<std::string, open_order> orders_;
     /** Machines that are being emptied for maintenance, with the servers on them. */
     std::map<std::string, server_id> withheld_;
     /** The newest order for each machine in the log: its term, and when it was given at the
@@ -87,6 +89,10 @@
     mono_time last_plan_{};
     bool reading_{false};
     bool list_wanted_{true};
+    /** The page that is read next, once the service's rate allows. */
+    std::optional<std::string> next_page_;
+    call_budget order_budget_;
+    call_budget read_budget_;
     term_number term_{0};
 };
 
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -38,8 +38,6 @@
     term_number fence{0};
     /** Empty: the run begins from the start. */
     std::string checkpoint;
-    /** Permission of the advice service; empty: none is needed. */
-    std::string ticket;
 };
 
 struct stop_order {
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -26,7 +26,6 @@
     leading_ = true;
     term_ = shared_.fence();
     pending_ends_ = {};
-    tickets_.clear();
     const mono_time now = shared_.now();
     const auto lease = static_cast<std::int64_t>(
         static_cast<double>(lease_for(shared_.settings.bounds)) / slowest_clock);
@@ -228,7 +227,6 @@
 {
     std::set<jobs::job_id> jobs_touched;
     for (const jobs::end_run& e : cmd.ends) {
-        tickets_.erase(e.run);
         if (!leave(e.run)) {
             continue;
         }
@@ -388,11 +386,6 @@
     }
 }
 
-void run_driver::set_ticket(const jobs::run_id& run, std::string ticket)
-{
-    tickets_[run] = std::move(ticket);
-}
-
 bool run_driver::at_work(const task_id& task) const
 {
     const auto at = where_.find(task);
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -51,8 +51,6 @@
     /** Sets a task's share of its full speed. */
     void pace(const jobs::task_id& task, int percent);
     void withhold(const server_id& id, bool on);
-    /** Ticket to send along with the start of a run. */
-    void set_ticket(const jobs::run_id& run, std::string ticket);
 
     const std::map<server_id, server_view>& servers() const noexcept { return servers_; }
     /** @return whether the task was seen at its full work of late and is to stay there. */
@@ -101,7 +99,6 @@
     std::map<server_id, server_view> servers_;
     /** The server of each run. */
     std::unordered_map<jobs::task_id, server_id> where_;
-    std::map<jobs::run_id, std::string> tickets_;
     jobs::end_runs pending_ends_;
     std::vector<wire::server_reports::ended> gone_;
     bool leading_{false};
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -142,8 +142,6 @@
     order.lease_end_ms = extend_lease(view, now);
     order.fence = term_;
     order.checkpoint = shared_.state().find(task)->checkpoint;
-    const auto ticket = tickets_.find(order.run);
-    order.ticket = ticket == tickets_.end() ? "" : ticket->second;
     ++under_way_;
     shared_.counters.count("run_starts");
     const jobs::run_id name = order.run;
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -132,7 +132,7 @@
                     machines->applied(cmd);
                 },
                 [this] { log_restored(); }, [this](const error& e) { disk_failed(e); },
-            [this] { peers->flush(); }},
+                [this] { peers->flush(); }},
             snapshots, intervals);
     }
 
@@ -147,7 +147,7 @@
         driver = std::make_unique<run_driver>(*shared, [this] { work->wake(); });
         work = std::make_unique<dispatcher>(*shared, *driver);
         machines = std::make_unique<machine_driver>(*shared, *driver, *work);
-        callers = std::make_unique<caller_api>(*shared, *work);
+        callers = std::make_unique<caller_api>(*shared);
         control = std::make_unique<control_api>(*shared, *driver,
                                                 [this](const jobs::server_report& r) { share(r); });
         timers.push_back(loop.every(housekeeping_period, [this] { housekeep(); }));
@@ -334,8 +334,8 @@
             }
             driver->heard(value(report), milliseconds{std::max<std::int64_t>(0, passed_on.age_ms)});
         }
-        for (const auto& server : m.gone) {
-            driver->told_gone(server);
+        for (const auto& ended : m.gone) {
+            driver->told_gone(ended);
         }
     }
 
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -68,9 +68,6 @@
         if (!step.room_needed().fits(c.free) || !may_run(c, step, hints)) {
             continue;
         }
-        if (hints.may_wait_for_rack && is_far(c, step, hints)) {
-            continue;
-        }
         if (!best || cost_of(c, step, hints) < cost_of(servers[*best], step, hints)) {
             best = i;
         }
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/settings/job_service.h"
 
+#include "endpoint_field.h"
+
 #include <algorithm>
 
 namespace fescue::settings {
@@ -8,21 +10,6 @@
 
 constexpr std::int64_t longest_ms = 3'600'000;
 constexpr double most_per_s = 100'000;
-constexpr double largest_factor = 1000;
-
-http::endpoint read_address(json::object_reader& reader, const std::string& field)
-{
-    const std::string text = reader.text(field, "");
-    if (text.empty()) {
-        return {};
-    }
-    const auto parsed = http::parse_endpoint(text);
-    if (!ok(parsed)) {
-        reader.report(field, error_of(parsed).detail);
-        return {};
-    }
-    return value(parsed);
-}
 
 void read_addresses(json::object_reader& top, job_service_settings& out, json::faults& faults)
 {
@@ -32,10 +19,11 @@
         return;
     }
     json::object_reader reader{*found, "listen", faults};
-    out.peers = read_address(reader, "peers");
-    out.callers = read_address(reader, "callers");
-    out.readiness = read_address(reader, "readiness");
-    out.control = read_address(reader, "control");
+    const http::endpoint none;
+    out.peers = read_endpoint(reader, "peers", &none);
+    out.callers = read_endpoint(reader, "callers", &none);
+    out.readiness = read_endpoint(reader, "readiness", &none);
+    out.control = read_endpoint(reader, "control", &none);
     const auto need = [&](const http::endpoint& at, const char* field) {
         if (at.ip.empty()) {
             reader.report(field, "is missing");
@@ -62,10 +50,7 @@
         to = reader.number(field, {1, longest_ms}, to);
     };
     ms("longest_lease_ms", out.longest_lease_ms);
-    ms("stop_ms", out.stop_ms);
     ms("machine_lease_ms", out.machine_lease_ms);
-    ms("notice_ms", out.notice_ms);
-    ms("disturbed_ms", out.disturbed_ms);
     const auto seconds = [&](const char* field, std::int64_t& to) {
         const double given = reader.real(field, 0, longest_ms, static_cast<double>(to) / 1000.0);
         to = static_cast<std::int64_t>(given * 1000.0);
@@ -74,7 +59,6 @@
     seconds("grace_s", out.grace_ms);
     seconds("move_s", out.move_ms);
     seconds("upkeep_s", out.upkeep_ms);
-    out.far_factor = reader.real("far_factor", 1, largest_factor, out.far_factor);
     reader.finish();
 }
 
@@ -136,7 +120,6 @@
     out.data_folder = top.text("data_folder", "");
     out.cluster_secret = top.text("cluster_secret", "");
     read_machines(top, out.machines, faults);
-    out.advice_address = top.text("advice_address", "");
     read_bounds(top, out.bounds, faults);
     const std::string level = top.text("log_level", "info");
     if (!log::parse_level(level, out.log_level)) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/settings/settings.h"
 
+#include "endpoint_field.h"
+
 #include <sys/stat.h>
 
 #include <algorithm>
@@ -13,24 +15,6 @@
 
 constexpr mode_t others_may_read = S_IRWXG | S_IRWXO;
 
-http::endpoint read_endpoint(json::object_reader& reader, const std::string& field,
-                             const http::endpoint* fallback)
-{
-    if (fallback != nullptr && reader.find(field) == nullptr) {
-        return *fallback;
-    }
-    const std::string text = reader.text(field);
-    if (text.empty()) {
-        return {};
-    }
-    const auto parsed = http::parse_endpoint(text);
-    if (!ok(parsed)) {
-        reader.report(field, error_of(parsed).detail);
-        return {};
-    }
-    return value(parsed);
-}
-
 void read_listen(json::object_reader& top, listen_addresses& out, json::faults& faults)
 {
     const json::value_type* found = top.find("listen");
--- a/tests/fakes/worker_farm.cpp
+++ b/tests/fakes/worker_farm.cpp
@@ -251,18 +251,19 @@
 
     void report()
     {
-        const json body{{"service", "pool"},
-                        {"address", address_},
-                        {"zone", data_centre_names[static_cast<std::size_t>(number_ % opts_.data_centres)]},
-                        {"version", "v1"},
-                        {"slots", 8},
-                        {"state", "ready"},
-                        {"warmup_left_ms", 0},
-                        {"capacity", {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", 0}}},
-                        {"labels", {"a", fmt::format("r1-{}", number_ / 4)}},
-                        {"wall_clock_ms", now_ms()},
-                        {"born", born_},
-                        {"seq", ++sequence_}};
+        const json body{
+            {"service", "pool"},
+            {"address", address_},
+            {"zone", data_centre_names[static_cast<std::size_t>(number_ % opts_.data_centres)]},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"warmup_left_ms", 0},
+            {"capacity", {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", 0}}},
+            {"labels", {"a", fmt::format("r1-{}", number_ / 4)}},
+            {"wall_clock_ms", now_ms()},
+            {"born", born_},
+            {"seq", ++sequence_}};
         http::client_request out;
         out.method = "PUT";
         out.url = fmt::format("http://{}/instances/{}", opts_.controls[control_], id_);
@@ -386,8 +387,10 @@
     void hand_in(const std::string& id, std::int64_t since)
     {
         jobs_[id].since = since;
-        const json step{
-            {"count", opts_.tasks}, {"cpu", opts_.task_cpu}, {"mem_mb", 100}, {"estimate_ms", opts_.task_ms}};
+        const json step{{"count", opts_.tasks},
+                        {"cpu", opts_.task_cpu},
+                        {"mem_mb", 100},
+                        {"estimate_ms", opts_.task_ms}};
         json second = step;
         second["depends_on"] = {0};
         const json body{{"spec", std::string(500, 'x')}, {"steps", {step, second}}};
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/call_budget.h"
 #include "fleet/group.h"
 #include "fleet/server_view.h"
 
@@ -187,3 +188,24 @@
     }
     CHECK(twice == 0);
 }
+
+TEST_CASE(
+    "call budget: a burst of orders stays within the service's rate, and none is kept from going")
+{
+    call_budget budget{20};
+    const mono_time start{1h};
+    int made = 0;
+    for (int ms = 0; ms < 3000; ms += 10) {
+        // What the planner wants each time is more than may go.
+        for (int i = 0; i < 16; ++i) {
+            made += budget.take(start + milliseconds{ms}) ? 1 : 0;
+        }
+    }
+    // One second's worth is saved up at the start.
+    CHECK(made <= 80);
+    CHECK(made >= 75);
+    call_budget slow{0.5};
+    CHECK(slow.take(start));
+    CHECK_FALSE(slow.take(start + 1s));
+    CHECK(slow.take(start + 2100ms));
+}
