One place for the end of inherited leases and for dropping a server's runs

The end of an earlier leader's leases was worked out twice, the counts of a server's runs were reset in two places, and change_life took a report that it did not read. No behaviour changes; the unit cases (108) pass unchanged.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -27,9 +27,7 @@
     term_ = shared_.fence();
     pending_ends_ = {};
     const mono_time now = shared_.now();
-    const auto lease = static_cast<std::int64_t>(
-        static_cast<double>(lease_for(shared_.settings.bounds)) / slowest_clock);
-    const mono_time over = now + milliseconds{lease} + inherited_margin;
+    const mono_time over = inherited_leases_over(now);
     for (auto& [id, view] : servers_) {
         view.fenced = false;
         view.lease_end_ms = 0;
@@ -42,27 +40,29 @@
         view.next_look = now;
         // Followers are told of reports that say something new only.
         view.heard = now;
-        view.runs.clear();
-        view.used = {};
-        view.lasting_runs = 0;
-        view.serving_runs = 0;
+        view.forget_runs();
     }
     where_.clear();
     adopt_runs();
     tick();
 }
 
-void run_driver::adopt_runs()
+mono_time run_driver::inherited_leases_over(mono_time now) const
 {
-    const mono_time now = shared_.now();
     const auto lease = static_cast<std::int64_t>(
         static_cast<double>(lease_for(shared_.settings.bounds)) / slowest_clock);
+    return now + milliseconds{lease} + inherited_margin;
+}
+
+void run_driver::adopt_runs()
+{
+    const mono_time now = shared_.now();
     for (const auto& [id, tasks] : shared_.state().runs) {
         server_view& view = servers_[id];
         if (view.report.id.empty()) {
             view.report.id = id;
             view.heard = now;
-            view.inherited_lease_over = now + milliseconds{lease} + inherited_margin;
+            view.inherited_lease_over = inherited_leases_over(now);
         }
         for (const task_id& task : tasks) {
             run_view run;
@@ -82,10 +82,7 @@
     leading_ = false;
     where_.clear();
     for (auto& [id, view] : servers_) {
-        view.runs.clear();
-        view.used = {};
-        view.lasting_runs = 0;
-        view.serving_runs = 0;
+        view.forget_runs();
     }
 }
 
@@ -106,7 +103,7 @@
                       known.pool != report.pool || known.leaving != report.leaving;
     const bool reborn = !fresh && known.life != report.life && known.life != 0;
     if (reborn) {
-        change_life(view, report);
+        change_life(view);
     }
     view.report = report;
     view.heard = std::max(view.heard, now);
@@ -127,7 +124,7 @@
     return news;
 }
 
-void run_driver::change_life(server_view& view, const jobs::server_report& /*report*/)
+void run_driver::change_life(server_view& view)
 {
     const mono_time now = shared_.now();
     view.clock.forget();
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -69,7 +69,9 @@
     void ended(const jobs::end_runs& cmd);
     void stop_all(const jobs::job_id& job, const std::string& why);
     void stop_gang(const jobs::task_id& task);
-    void change_life(server_view& view, const jobs::server_report& report);
+    void change_life(server_view& view);
+    /** @return when leases by earlier leaders are certainly over. */
+    mono_time inherited_leases_over(mono_time now) const;
 
     void send_order(const server_view& view, http::client_request&& request,
                     http::client::callback done);
--- a/src/fleet/server_view.cpp
+++ b/src/fleet/server_view.cpp
@@ -28,6 +28,14 @@
     return reading_->clock_ms + slow_ms_between(reading_->came_at, now);
 }
 
+void server_view::forget_runs() noexcept
+{
+    runs.clear();
+    used = {};
+    lasting_runs = 0;
+    serving_runs = 0;
+}
+
 bool server_view::lease_surely_over(mono_time now) const noexcept
 {
     if (now < inherited_lease_over) {
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -112,6 +112,8 @@
     std::uint32_t lasting_runs{0};
     std::uint32_t serving_runs{0};
 
+    /** Drops the leader's view of what runs there, and what is counted from it. */
+    void forget_runs() noexcept;
     bool reachable() const noexcept { return misses == 0 && !left; }
     /** @return whether everything on the server has certainly lost its lease. */
     bool lease_surely_over(mono_time now) const noexcept;
