--- a/include/fescuestream/base/error.h
+++ b/include/fescuestream/base/error.h
@@ -68,6 +68,12 @@
 struct error {
     error_kind kind{error_kind::internal};
     std::string detail;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, detail);
+    }
 };
 
 /** A value or an error. */
--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -360,36 +360,30 @@
     }
 };
 
-/** An HTTP request that another instance sends for the asker. */
+/** An order to a backend server that another instance sends for the asker. */
 struct relayed_call {
     std::uint64_t number{0};
-    std::string method;
-    std::string url;
-    std::string body;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::int64_t timeout_ms{0};
+    /** Server and order, as fleet::relay writes them. */
+    std::string order;
     /** The asker's wall clock: an old call is not sent any more. */
     wall_ms asked_at{0};
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(number, method, url, body, headers, timeout_ms, asked_at);
+        archive(number, order, asked_at);
     }
 };
 
 struct relayed_answer {
     std::uint64_t number{0};
-    /** http::delivery. */
-    std::uint8_t how{0};
-    int status{0};
-    std::string body;
-    std::string fault;
+    /** What came of the order, as fleet::relay writes it. */
+    std::string answer;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(number, how, status, body, fault);
+        archive(number, answer);
     }
 };
 
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -6,6 +6,7 @@
  * from how it is written on the wire. A translator fills in the functions.
  */
 
+#include "fescuestream/base/codec.h"
 #include "fescuestream/base/error.h"
 #include "fescuestream/http/client.h"
 #include "fescuestream/http/server.h"
@@ -27,6 +28,12 @@
 struct server_address {
     std::string address;
     server_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(address, id);
+    }
 };
 
 struct start_order {
@@ -38,11 +45,23 @@
     term_number fence{0};
     /** Empty: the run begins from the start. */
     std::string checkpoint;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(run, payload, lease_end_ms, fence, checkpoint);
+    }
 };
 
 struct stop_order {
     jobs::run_id run;
     term_number fence{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(run, fence);
+    }
 };
 
 /** Renews the lease, acknowledges ends, and asks for what runs and what has ended. */
@@ -54,6 +73,12 @@
     std::uint64_t acknowledged{0};
     /** The answer waits this long for an end; 0: it comes at once. */
     std::int64_t wait_ms{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(lease_end_ms, fence, acknowledged, wait_ms);
+    }
 };
 
 struct pace_order {
@@ -61,6 +86,12 @@
     /** Share of its full speed, 0 to 100. */
     int percent{100};
     term_number fence{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(run, percent, fence);
+    }
 };
 
 /** What became of an order. */
@@ -91,6 +122,12 @@
 struct order_reply {
     order_result result{order_result::unknown};
     std::optional<std::int64_t> clock_ms;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(result, clock_ms);
+    }
 };
 
 struct active_run {
@@ -100,6 +137,12 @@
     /** Of a serving task: the tail of its response times, in milliseconds; of others: the
      * thousandths of a core in use. */
     std::int64_t figure{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(run, checkpoint, percent, figure);
+    }
 };
 
 struct ended_run {
@@ -108,6 +151,12 @@
     jobs::run_id run;
     jobs::run_end how{jobs::run_end::lost};
     std::string checkpoint;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, run, how, checkpoint);
+    }
 };
 
 struct look_reply {
@@ -115,8 +164,21 @@
     std::int64_t clock_ms{0};
     std::vector<active_run> active;
     std::vector<ended_run> ended;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(life, clock_ms, active, ended);
+    }
 };
 
+using server_order = std::variant<start_order, stop_order, look_order, pace_order>;
+/** Of a look the lists, or why there are none; of any other order what became of it. */
+using server_answer = std::variant<order_reply, result<look_reply>>;
+
+/** Longest wait for an answer to an order; a server answers at once, so this is a lost answer. */
+inline constexpr milliseconds order_timeout{1000};
+
 // ---- the machine service
 
 enum class machine_state : std::uint8_t { up, moving, upkeep, down };
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -12,6 +12,18 @@
 /** A helper's answer takes this much longer than the request itself may. */
 constexpr milliseconds way_and_back{500};
 
+/** What relayed_call::order holds. */
+struct addressed_order {
+    server_address to;
+    server_order order;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(to, order);
+    }
+};
+
 http::client_response no_answer(http::delivery how, const char* fault)
 {
     http::client_response out;
@@ -20,45 +32,78 @@
     return out;
 }
 
+bool is_look(const server_order& order) noexcept
+{
+    return std::holds_alternative<look_order>(order);
+}
+
+milliseconds longest_wait(const server_order& order)
+{
+    const auto* look = std::get_if<look_order>(&order);
+    return order_timeout + milliseconds{look == nullptr ? 0 : look->wait_ms};
+}
+
 } // namespace
 
+http::client_request relay::request_of(const server_address& to, const server_order& order) const
+{
+    struct translation {
+        const protocol& by;
+        const server_address& to;
+
+        http::client_request operator()(const start_order& o) const { return by.start(to, o); }
+        http::client_request operator()(const stop_order& o) const { return by.stop(to, o); }
+        http::client_request operator()(const look_order& o) const { return by.look(to, o); }
+        http::client_request operator()(const pace_order& o) const { return by.pace(to, o); }
+    };
+    return std::visit(translation{translator_, to}, order);
+}
+
+server_answer relay::answer_of(bool look, const http::client_response& response) const
+{
+    return look ? server_answer{translator_.read_look_reply(response)}
+                : server_answer{translator_.read_order_reply(response)};
+}
+
 void relay::set_helpers(std::map<data_centre_id, std::vector<instance_id>> helpers)
 {
     helpers_ = std::move(helpers);
 }
 
-void relay::send(const data_centre_id& near, std::size_t key, http::client_request&& request,
-                 http::client::callback done)
+void relay::send(const data_centre_id& near, const server_address& to, const server_order& order,
+                 callback done)
 {
+    const bool look = is_look(order);
     const auto here = on_ ? helpers_.find(near) : helpers_.end();
-    if (here == helpers_.end() || here->second.empty()) {
-        client_.send(std::move(request), std::move(done));
-        return;
-    }
-    const instance_id& helper = here->second[key % here->second.size()];
-    wire::relayed_call call;
-    call.number = next_++;
-    call.method = request.method;
-    call.url = request.url;
-    call.body = request.body;
-    for (const http::header& h : request.headers) {
-        call.headers.emplace_back(h.name, h.value);
-    }
-    call.timeout_ms = request.timeout.count();
-    call.asked_at = wall_now();
-    if (!send_(helper, call)) {
-        client_.send(std::move(request), std::move(done));
-        return;
+    if (here != helpers_.end() && !here->second.empty()) {
+        const std::size_t key = std::hash<server_id>{}(to.id);
+        const instance_id& helper = here->second[key % here->second.size()];
+        const std::uint64_t number = next_++;
+        if (send_(helper,
+                  wire::relayed_call{number, to_bytes(addressed_order{to, order}), wall_now()})) {
+            const mono_time give_up = loop_.now() + longest_wait(order) + way_and_back;
+            open_.emplace(number, open_call{helper, give_up, look, std::move(done)});
+            return;
+        }
     }
-    open_.emplace(call.number,
-                  open_call{helper, loop_.now() + request.timeout + way_and_back, std::move(done)});
+    client_.send(request_of(to, order),
+                 [this, look, done = std::move(done)](http::client_response&& r) {
+                     done(answer_of(look, r));
+                 });
 }
 
-void relay::received(const instance_id& from, wire::relayed_call&& call)
+void relay::received(const instance_id& from, const wire::relayed_call& call)
 {
-    const auto answer = [this, from, number = call.number](http::client_response&& r) {
-        send_(from, wire::relayed_answer{number, static_cast<std::uint8_t>(r.how), r.status,
-                                         std::move(r.body), std::move(r.fault)});
+    const auto read = from_bytes<addressed_order>(call.order);
+    if (!ok(read)) {
+        log::warning("relayed_call_unreadable",
+                     {{"from", from.str()}, {"why", error_of(read).detail}});
+        return;
+    }
+    const addressed_order& order = value(read);
+    const bool look = is_look(order.order);
+    const auto answer = [this, from, look, number = call.number](const http::client_response& r) {
+        send_(from, wire::relayed_answer{number, to_bytes(answer_of(look, r))});
     };
     const std::int64_t age = wall_now() - call.asked_at;
     if (age > oldest_call_ms) {
@@ -66,31 +111,27 @@
         answer(no_answer(http::delivery::not_sent, "too old when it reached its helper"));
         return;
     }
-    http::client_request request;
-    request.method = std::move(call.method);
-    request.url = std::move(call.url);
-    request.body = std::move(call.body);
-    for (auto& [name, value] : call.headers) {
-        request.headers.push_back({std::move(name), std::move(value)});
-    }
-    request.timeout = milliseconds{call.timeout_ms};
-    client_.send(std::move(request), answer);
+    client_.send(request_of(order.to, order.order), answer);
 }
 
-void relay::received(wire::relayed_answer&& answer)
+void relay::received(const wire::relayed_answer& answer)
 {
-    auto node = open_.extract(answer.number);
-    if (node.empty()) {
+    const auto open = open_.find(answer.number);
+    if (open == open_.end()) {
         return;
     }
-    http::client_response out;
-    out.how = answer.how <= static_cast<std::uint8_t>(http::delivery::lost)
-                  ? static_cast<http::delivery>(answer.how)
-                  : http::delivery::lost;
-    out.status = answer.status;
-    out.body = std::move(answer.body);
-    out.fault = std::move(answer.fault);
-    node.mapped().done(std::move(out));
+    auto read = from_bytes<server_answer>(answer.answer);
+    const bool fits =
+        ok(read) && std::holds_alternative<order_reply>(value(read)) != open->second.look;
+    if (!fits) {
+        log::warning("relayed_answer_unreadable",
+                     {{"from", open->second.helper.str()},
+                      {"why", ok(read) ? "of another kind of order" : error_of(read).detail}});
+        give_up(answer.number, "its helper's answer was not readable");
+        return;
+    }
+    auto node = open_.extract(open);
+    node.mapped().done(std::move(value(read)));
 }
 
 void relay::lost(const instance_id& helper)
@@ -102,6 +143,14 @@
     }
 }
 
+void relay::give_up(std::uint64_t number, const char* why)
+{
+    auto node = open_.extract(number);
+    if (!node.empty()) {
+        node.mapped().done(answer_of(node.mapped().look, no_answer(http::delivery::lost, why)));
+    }
+}
+
 void relay::tick()
 {
     const mono_time now = loop_.now();
@@ -112,10 +161,7 @@
         }
     }
     for (const std::uint64_t number : over) {
-        auto node = open_.extract(number);
-        if (!node.empty()) {
-            node.mapped().done(no_answer(http::delivery::lost, "its helper did not answer"));
-        }
+        give_up(number, "its helper did not answer");
     }
 }
 
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -73,8 +73,7 @@
     /** @return when leases by earlier leaders are certainly over. */
     mono_time inherited_leases_over(mono_time now) const;
 
-    void send_order(const server_view& view, http::client_request&& request,
-                    http::client::callback done);
+    void send_order(const server_view& view, const server_order& order, relay::callback done);
     void send_start(server_view& view, const jobs::task_id& task, run_view& run);
     void start_answered(const server_id& id, const jobs::run_id& run, const order_reply& reply,
                         mono_time sent);
@@ -93,7 +92,6 @@
                      const char* why);
     void send_ends(jobs::end_runs&& batch);
     std::int64_t extend_lease(server_view& view, mono_time now);
-    server_address address_of(const server_view& view) const;
     run_view* find_run(const server_id& id, const jobs::run_id& run);
 
     core_context& shared_;
--- a/src/fleet/run_looks.cpp
+++ b/src/fleet/run_looks.cpp
@@ -42,12 +42,11 @@
     order.wait_ms = waits ? look_wait_ms : 0;
     view.looking = true;
     shared_.counters.count("looks");
-    send_order(view, shared_.wire.look(address_of(view), order),
-               [this, id = view.report.id, now, term = term_](auto&& response) {
-                   if (leading_ && term == term_) {
-                       looked(id, shared_.wire.read_look_reply(response), now);
-                   }
-               });
+    send_order(view, order, [this, id = view.report.id, now, term = term_](server_answer&& answer) {
+        if (leading_ && term == term_) {
+            looked(id, std::get<result<look_reply>>(answer), now);
+        }
+    });
 }
 
 void run_driver::looked(const server_id& id, const result<look_reply>& reply, mono_time sent)
@@ -136,8 +135,7 @@
             log::info("stray_run", {{"task", a.run.task.text()},
                                     {"attempt", a.run.attempt},
                                     {"server", view.report.id.str()}});
-            send_order(view, shared_.wire.stop(address_of(view), {a.run, term_}),
-                       [](auto&& /*response*/) {});
+            send_order(view, stop_order{a.run, term_}, [](server_answer&& /*answer*/) {});
             continue;
         }
         const jobs::task* t = shared_.state().find(a.run.task);
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -66,11 +66,11 @@
     run.stop_tried = shared_.now();
     const jobs::run_id name{task, run.attempt};
     ++under_way_;
-    send_order(view, shared_.wire.stop(address_of(view), {name, term_}),
-               [this, id = view.report.id, name, term = term_](auto&& response) {
+    send_order(view, stop_order{name, term_},
+               [this, id = view.report.id, name, term = term_](server_answer&& answer) {
                    --under_way_;
                    if (leading_ && term == term_) {
-                       stop_answered(id, name, shared_.wire.read_order_reply(response));
+                       stop_answered(id, name, std::get<order_reply>(answer));
                    }
                });
 }
@@ -99,16 +99,11 @@
 
 // ---- starts
 
-void run_driver::send_order(const server_view& view, http::client_request&& request,
-                            http::client::callback done)
+void run_driver::send_order(const server_view& view, const server_order& order,
+                            relay::callback done)
 {
-    shared_.orders.send(view.report.data_centre, std::hash<server_id>{}(view.report.id),
-                        std::move(request), std::move(done));
-}
-
-server_address run_driver::address_of(const server_view& view) const
-{
-    return {view.report.address, view.report.id};
+    shared_.orders.send(view.report.data_centre, {view.report.address, view.report.id}, order,
+                        std::move(done));
 }
 
 run_view* run_driver::find_run(const server_id& id, const jobs::run_id& run)
@@ -145,11 +140,11 @@
     ++under_way_;
     shared_.counters.count("run_starts");
     const jobs::run_id name = order.run;
-    send_order(view, shared_.wire.start(address_of(view), order),
-               [this, id = view.report.id, name, now, term = term_](auto&& response) {
+    send_order(view, order,
+               [this, id = view.report.id, name, now, term = term_](server_answer&& answer) {
                    --under_way_;
                    if (leading_ && term == term_) {
-                       start_answered(id, name, shared_.wire.read_order_reply(response), now);
+                       start_answered(id, name, std::get<order_reply>(answer), now);
                    }
                });
 }
@@ -203,14 +198,14 @@
     }
     run->pace_under_way = true;
     const jobs::run_id name{task, run->attempt};
-    send_order(*view, shared_.wire.pace(address_of(*view), {name, percent, term_}),
-               [this, id = view->report.id, name, percent, term = term_](auto&& response) {
+    send_order(*view, pace_order{name, percent, term_},
+               [this, id = view->report.id, name, percent, term = term_](server_answer&& answer) {
                    run_view* still = leading_ && term == term_ ? find_run(id, name) : nullptr;
                    if (still == nullptr) {
                        return;
                    }
                    still->pace_under_way = false;
-                   const auto reply = shared_.wire.read_order_reply(response);
+                   const auto reply = std::get<order_reply>(answer);
                    if (reply.result == order_result::accepted) {
                        still->pace = percent;
                    }
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -139,7 +139,7 @@
     void make_parts()
     {
         orders = std::make_unique<relay>(
-            loop, client,
+            loop, client, wire,
             [this](const instance_id& to, const wire::message& m) { return peers->send(to, m); });
         shared = std::make_unique<core_context>(
             core_context{loop, settings, wire, client, *orders, *log, counters});
@@ -288,13 +288,7 @@
             log::warning("other_cluster", {{"peer", who.from.str()}, {"cluster", who.cluster}});
             return;
         }
-        if (auto* call = std::get_if<wire::relayed_call>(&m)) {
-            orders->received(who.from, std::move(*call));
-        } else if (auto* answer = std::get_if<wire::relayed_answer>(&m)) {
-            orders->received(std::move(*answer));
-        } else {
-            std::visit([&](auto&& body) { take(who.from, body); }, m);
-        }
+        std::visit([&](auto&& body) { take(who.from, body); }, m);
     }
 
     template <class M>
@@ -302,6 +296,8 @@
     {
         log::warning("message_unexpected", {{"peer", from.str()}});
     }
+    void take(const instance_id& from, const wire::relayed_call& m) { orders->received(from, m); }
+    void take(const instance_id& /*from*/, const wire::relayed_answer& m) { orders->received(m); }
     void take(const instance_id& from, const consensus::append_request& m)
     {
         log->received(from, consensus::message{m});
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -126,7 +126,8 @@
     settings::job_service_settings settings;
     protocol wire{platform::make_protocol()};
     http::client client{loop};
-    relay orders{loop, client, [](const instance_id&, const wire::message&) { return false; }};
+    relay orders{loop, client, wire,
+                 [](const instance_id&, const wire::message&) { return false; }};
     metrics counters;
     std::vector<jobs::end_run> ends;
     job_log log{loop,
