More orders may be under way: the bound, not the room, decided how much a burst started

Cause: in bursts of the grown sites backlog grew to 50,000 core-seconds beside 10,000 free cores. A new log line (scheduling_rounds) showed: 13 to 19 rounds a second, nearly all bounded, each starting what 224 less the orders under way left, some 120; a round takes 70 to 170 ms there and an order as long. So 1,700 starts a second, whatever the processor. Change: 600 orders, 3,000 a second of 0.2 s each; the bound is scheduler::starts_allowed, with a replay test that fails with 224.

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -24,9 +24,6 @@
 constexpr std::size_t most_in_vain = 24;
 /** A server that has not reported for so long, three of its periods, gets nothing new. */
 constexpr milliseconds report_lease{4500};
-/** Most orders that wait for their answers. What waits here can still be put in another order or
- * be left for later; what waits in the client's queue can't. */
-constexpr std::size_t most_orders = 224;
 /** A batch of starts that was not applied for so long is lost with its leader. */
 constexpr milliseconds batch_timeout{3000};
 
@@ -68,6 +65,8 @@
 {
     if (std::holds_alternative<jobs::begin_runs>(cmd)) {
         batch_under_way_ = false;
+        const auto logging = std::chrono::duration_cast<milliseconds>(shared_.now() - last_run_);
+        sums_.longest_logging = std::max(sums_.longest_logging, logging);
         for (const jobs::begin_run& r : std::get<jobs::begin_runs>(cmd).runs) {
             begun_[r.run.task] = {r.run.attempt, r.server, shared_.now()};
         }
@@ -141,13 +140,17 @@
     round r;
     r.now = shared_.now();
     r.wall = wall_now();
-    r.most_starts = most_orders - std::min(most_orders, driver_.orders_under_way());
+    r.most_starts = scheduler::starts_allowed(driver_.orders_under_way());
     gather_servers(r);
     gather_jobs(r);
     for (const auto& [id, pool] : shared_.state().doc.pools) {
         loads_[id].arriving_cpu = arrivals_.cpu_milli(id, r.now);
     }
     start_by_pools(r);
+    ++sums_.rounds;
+    sums_.starts += r.batch.runs.size();
+    sums_.bounded += !r.batch.runs.empty() && r.batch.runs.size() >= r.most_starts ? 1 : 0;
+    sums_.most_under_way = std::max(sums_.most_under_way, driver_.orders_under_way());
     log_loads();
     if (r.batch.runs.empty()) {
         return;
@@ -181,6 +184,12 @@
         return;
     }
     loads_logged_ = last_run_;
+    log::info("scheduling_rounds", {{"rounds", sums_.rounds},
+                                    {"starts", sums_.starts},
+                                    {"bounded", sums_.bounded},
+                                    {"most_under_way", sums_.most_under_way},
+                                    {"longest_logging_ms", sums_.longest_logging.count()}});
+    sums_ = {};
     for (const auto& [pool, load] : loads_) {
         if (load.wanted_cpu > 0 || load.free_cpu < load.capacity_cpu) {
             log::info("pool_load",
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -83,6 +83,17 @@
     std::unordered_map<jobs::task_id, begun_run> begun_;
     std::unordered_map<jobs::task_id, server_id> failed_on_;
     scheduler::arrival_rate arrivals_;
+    /** What the rounds since the last log line came to. */
+    struct round_sums {
+        std::size_t rounds{0};
+        std::size_t starts{0};
+        /** Rounds that started all that their bound let them. */
+        std::size_t bounded{0};
+        std::size_t most_under_way{0};
+        /** Longest time from a round until its starts were in the log and applied. */
+        milliseconds longest_logging{0};
+    };
+    round_sums sums_;
     std::size_t turn_{0};
     bool due_{false};
     /** Starts are on their way into the log; the next round waits for them. */
--- a/src/scheduler/start_shares.cpp
+++ b/src/scheduler/start_shares.cpp
@@ -5,6 +5,19 @@
 
 namespace fescue::scheduler {
 
+namespace {
+
+/** Most orders without an answer: 3,000 a second that take 0.2 s each, as logged in bursts on the
+ * users' grown sites. */
+constexpr std::size_t most_under_way = 600;
+
+} // namespace
+
+std::size_t starts_allowed(std::size_t under_way) noexcept
+{
+    return most_under_way - std::min(most_under_way, under_way);
+}
+
 std::vector<std::size_t> share_starts(std::size_t most, std::span<const std::size_t> wanted,
                                       std::size_t first)
 {
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -88,6 +88,32 @@
           std::vector<std::uint64_t>{3, 2, 1});
 }
 
+TEST_CASE("starts: what is under way leaves less, and never more than nothing")
+{
+    CHECK(starts_allowed(0) > starts_allowed(100));
+    CHECK(starts_allowed(1'000'000) == 0);
+}
+
+TEST_CASE("starts: 2,800 a second are kept up with while an order takes 0.2 s and a round 70 ms")
+{
+    constexpr int round_ms = 70;
+    constexpr int order_ms = 200;
+    std::size_t waiting = 0;
+    std::deque<std::pair<int, std::size_t>> under_way;
+    for (int now = 0; now < 8000; now += round_ms) {
+        waiting += 2800 * round_ms / 1000;
+        std::size_t open = 0;
+        std::erase_if(under_way, [&](const auto& o) { return now - o.first >= order_ms; });
+        for (const auto& [at, orders] : under_way) {
+            open += orders;
+        }
+        const std::size_t starts = std::min(waiting, starts_allowed(open));
+        under_way.emplace_back(now, starts);
+        waiting -= starts;
+    }
+    CHECK(waiting < 2800 * round_ms / 1000);
+}
+
 TEST_CASE("placement: short work is packed beside what runs, so that idle servers stay idle")
 {
     const std::vector<candidate> servers{server("idle", 64'000), server("half", 30'000),
