Lasting tasks keep off servers whose machines are still to be maintained

Their servers waited up to 25 s for lasting tasks of few steps: each relocation of a step waits for the one before, and placement, which gathers lasting tasks, put the moved ones on servers that the wave was to reach next, so they had to move again. Ruled out: the machine service (orders answered at once), the wave's width (59 at once, never used up after 5 s). Change: servers of machines that a wave has still to begin are marked; a lasting task starts there only without another.

--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -8,7 +8,9 @@
  * is packed: lasting tasks together, apart from each other where the step asks for it, and short
  * ones first beside them and then on the fullest server that has room. So a pool whose burst is
  * over has idle servers at once, and these can be moved to the next burst or maintained; a trickle
- * that is spread over all servers keeps each of them from that.
+ * that is spread over all servers keeps each of them from that. While maintenance goes round the
+ * servers, a lasting task that had to leave one keeps off those that are still to come, or it would
+ * have to move again, and each move of a step waits for the one before.
  */
 
 #include "fescuestream/jobs/server_report.h"
@@ -32,6 +34,8 @@
     std::uint32_t demerits{0};
     /** It gets single trial tasks only. */
     bool on_trial{false};
+    /** Its machine will be maintained soon. */
+    bool maintenance_due{false};
 };
 
 /** What matters besides the step's own wishes. */
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -235,6 +235,7 @@
         c.serves = view.serving_runs > 0;
         c.demerits = health_.demerits(id);
         c.on_trial = health_.on_trial(id);
+        c.maintenance_due = view.maintenance_due;
         pool_load& load = loads_[view.report.pool];
         load.capacity_cpu += view.report.capacity.cpu_milli;
         load.free_cpu += c.free.cpu_milli;
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -223,6 +223,8 @@
         if (m.begun) {
             keep_withheld(machine);
             close_upkeep(id, machine);
+        } else if (const machine_entry* entry = entry_of(machine)) {
+            driver_.expect_maintenance(entry->server);
         }
         view.machines.push_back(candidate_of(machine, m));
     }
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -383,6 +383,14 @@
     }
 }
 
+void run_driver::expect_maintenance(const server_id& id)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        found->second.maintenance_due = true;
+    }
+}
+
 bool run_driver::at_work(const task_id& task) const
 {
     const auto at = where_.find(task);
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -51,6 +51,8 @@
     /** Sets a task's share of its full speed. */
     void pace(const jobs::task_id& task, int percent);
     void withhold(const server_id& id, bool on);
+    /** The server's machine will be maintained soon: lasting tasks start elsewhere if they can. */
+    void expect_maintenance(const server_id& id);
 
     const std::map<server_id, server_view>& servers() const noexcept { return servers_; }
     /** @return whether the task was seen at its full work of late and is to stay there. */
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -106,6 +106,8 @@
     mono_time refused_until{};
     /** Withheld from new work by an order of ours: maintenance or a move. */
     bool withheld{false};
+    /** Its machine will be maintained soon. */
+    bool maintenance_due{false};
     /** Room that runs in the log take. */
     jobs::resources used;
     /** Runs among them that last, and that serve within a limit. */
@@ -115,6 +117,8 @@
     /** Drops the leader's view of what runs there, and what is counted from it. */
     void forget_runs() noexcept;
     bool reachable() const noexcept { return misses == 0 && !left; }
+    /** @return whether a lasting task that began of late is not at its full work yet. */
+    bool starts_up(mono_time now, milliseconds of_late) const noexcept;
     /** @return whether everything on the server has certainly lost its lease. */
     bool lease_surely_over(mono_time now) const noexcept;
     jobs::resources free() const noexcept { return report.capacity - used; }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -41,6 +41,7 @@
                       c.demerits,
                       disturbs,
                       disturbed,
+                      step.lasting && c.maintenance_due,
                       static_cast<std::int64_t>(tasks_on(hints, c.server->id)) *
                           (step.lasting ? 1 : 0),
                       company_rank,
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -136,6 +136,20 @@
     CHECK(chosen(servers, step, hints) != "a");
 }
 
+TEST_CASE("placement: lasting tasks keep off servers that are to be maintained, short ones do not")
+{
+    jobs::step_spec lasting = short_step();
+    lasting.lasting = true;
+    std::vector<candidate> servers{server("due", 30'000), server("idle", 64'000)};
+    servers[0].lasting_tasks = 3;
+    CHECK(chosen(servers, lasting) == "due");
+    servers[0].maintenance_due = true;
+    CHECK(chosen(servers, lasting) == "idle");
+    CHECK(chosen(servers, short_step()) == "due");
+    servers.pop_back();
+    CHECK(chosen(servers, lasting) == "due");
+}
+
 TEST_CASE("placement: label, room, rack and fresh failures decide")
 {
     jobs::step_spec step = short_step();
