A lasting task that starts up is seen at its full work soon

Looks at servers wait 0.7 s for an end, so that a task was back at work was told late. Change: for 3 s after a lasting task's start, until it is at full work, looks at its server do not wait. Unit case fails without it (350 ms).

--- a/src/fleet/run_limits.h
+++ b/src/fleet/run_limits.h
@@ -26,6 +26,9 @@
 inline constexpr milliseconds retry_pause{150};
 /** With fewer busy servers the way through another scheduler costs more than it saves. */
 inline constexpr std::size_t busy_for_relays = 64;
+/** So long after its start a lasting task is looked at until it is at full work, for as long the
+ * next task of its step can't be moved; the users' tasks take about a second. */
+inline constexpr milliseconds start_up_watch{3000};
 /** What a look showed is believed for so long: looks wait up to look_wait_ms for an answer. */
 inline constexpr milliseconds believed_for{1500};
 /** Pauses grow to so many of the above. */
--- a/src/fleet/run_looks.cpp
+++ b/src/fleet/run_looks.cpp
@@ -38,7 +38,7 @@
     // A server that does not answer keeps the lease that it has: else it would never be over.
     const bool renews = !view.runs.empty() && view.misses == 0;
     order.lease_end_ms = renews ? extend_lease(view, now) : 0;
-    const bool waits = view.fenced && view.misses == 0;
+    const bool waits = view.fenced && view.misses == 0 && !view.starts_up(now, start_up_watch);
     order.wait_ms = waits ? look_wait_ms : 0;
     view.looking = true;
     shared_.counters.count("looks");
--- a/src/fleet/server_view.cpp
+++ b/src/fleet/server_view.cpp
@@ -1,5 +1,7 @@
 #include "server_view.h"
 
+#include <algorithm>
+
 namespace fescue::fleet {
 
 namespace {
@@ -36,6 +38,15 @@
     serving_runs = 0;
 }
 
+bool server_view::starts_up(mono_time now, milliseconds of_late) const noexcept
+{
+    return lasting_runs > 0 && std::ranges::any_of(runs, [&](const auto& known) {
+               const run_view& run = known.second;
+               return run.lasting && run.shown_from && now - *run.shown_from < of_late &&
+                      !run.at_work_since && run.stop_why.empty();
+           });
+}
+
 bool server_view::lease_surely_over(mono_time now) const noexcept
 {
     if (now < inherited_lease_over) {
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -26,7 +26,8 @@
 class scripted_server {
 public:
     scripted_server(event_loop& loop, std::uint16_t port)
-        : server_{loop, [this](http::exchange_id x, http::request&& in) { take(x, in); }}
+        : loop_{loop}, server_{loop,
+                               [this](http::exchange_id x, http::request&& in) { take(x, in); }}
     {
         REQUIRE_FALSE(server_.listen({"127.0.0.1", port}, {}));
     }
@@ -38,6 +39,10 @@
     nlohmann::json active = nlohmann::json::array();
     std::vector<std::string> calls;
     std::vector<std::int64_t> leases;
+    /** A look that may wait is answered after this. */
+    milliseconds wait{0ms};
+    /** Percent of full work that a run shows from its start on. */
+    int percent{100};
 
 private:
     void take(http::exchange_id x, const http::request& in)
@@ -47,11 +52,20 @@
         leases.push_back(body.value("deadline_ms", std::int64_t{0}));
         const bool starts = in.path == "/run-start";
         if (starts && (answers_starts || runs_unanswered)) {
-            active = {{task.text(), body["attempt"], "", 100, 0}};
+            active = {{task.text(), body["attempt"], "", percent, 0}};
         }
         if (silent || (starts && !answers_starts)) {
             return;
         }
+        if (body.value("poll_wait_ms", 0) > 0 && wait > 0ms) {
+            later_ = loop_.after(wait, [this, x] { show_lists(x); });
+        } else {
+            show_lists(x);
+        }
+    }
+
+    void show_lists(http::exchange_id x)
+    {
         const nlohmann::json out{{"wall_clock_ms", clock_ms()},
                                  {"born", 1},
                                  {"active", active},
@@ -65,6 +79,8 @@
             .count();
     }
 
+    event_loop& loop_;
+    timer_handle later_;
     http::server server_;
 };
 
@@ -231,6 +247,26 @@
     CHECK(leader.until([&] { return leader.driver.at_work(task); }, 2s));
 }
 
+TEST_CASE("driver: a lasting task that starts up is seen at its full work soon")
+{
+    one_leader leader;
+    scripted_server server{leader.loop, first_port + 9};
+    server.percent = 0;
+    server.wait = 700ms;
+    leader.report(first_port + 9);
+    leader.begin();
+    REQUIRE(leader.until([&] { return !server.active.empty(); }, 1s));
+    leader.drive(300ms);
+    CHECK_FALSE(leader.driver.at_work(task));
+    server.active[0][3] = 100;
+    // A look that waited for an end would tell it only after its whole wait.
+    CHECK(leader.until([&] { return leader.driver.at_work(task); }, 350ms));
+    // Then looks wait again.
+    const std::size_t looks = server.calls.size();
+    leader.drive(1s);
+    CHECK(server.calls.size() - looks <= 4);
+}
+
 TEST_CASE("driver: a report that another instance passes on is as old as that one says")
 {
     one_leader leader;
