--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -1,8 +1,8 @@
 #include "caller_api.h"
 
-#include "fescuestream/base/log.h"
+#include "refusal.h"
 
-#include <fmt/format.h>
+#include "fescuestream/base/log.h"
 
 #include <algorithm>
 
@@ -43,14 +43,6 @@
     return out.empty() ? "plain" : out;
 }
 
-wire::forwarded_reply refusal(int status, std::string_view kind, std::string_view detail)
-{
-    wire::forwarded_reply out;
-    out.status = status;
-    out.body = fmt::format(R"({{"error":"{}","message":"{}"}})", kind, detail);
-    return out;
-}
-
 } // namespace
 
 void caller_api::call(const wire::forwarded_call& in, const reply_function& reply)
--- a/src/fleet/control_api.cpp
+++ b/src/fleet/control_api.cpp
@@ -1,5 +1,7 @@
 #include "control_api.h"
 
+#include "refusal.h"
+
 #include "fescuestream/base/log.h"
 
 #include <fmt/format.h>
@@ -23,12 +25,6 @@
     return out;
 }
 
-wire::forwarded_reply refusal(int status, const error& why)
-{
-    return answer(status,
-                  fmt::format(R"({{"error":"{}","message":"{}"}})", name_of(why.kind), why.detail));
-}
-
 } // namespace
 
 void control_api::call(const wire::forwarded_call& in, const reply_function& reply)
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -33,6 +33,8 @@
     void restored();
 
 private:
+    /** An order without an answer is sent again after this; it may be carried out once only. */
+    static constexpr milliseconds order_retry{2500};
     /** An order that was sent for a machine. */
     struct open_order {
         bool under_way{false};
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -90,7 +90,7 @@
 
 bool run_driver::heard(const jobs::server_report& report, milliseconds age)
 {
-    const mono_time now = shared_.now() - age;
+    const mono_time reported = shared_.now() - age;
     auto [at, fresh] = servers_.try_emplace(report.id);
     server_view& view = at->second;
     const jobs::server_report& known = view.report;
@@ -106,8 +106,8 @@
         change_life(view);
     }
     view.report = report;
-    view.heard = std::max(view.heard, now);
-    view.clock.read(report.clock_ms, now);
+    view.heard = std::max(view.heard, reported);
+    view.clock.read(report.clock_ms, reported);
     if (news) {
         log::info("server_seen", {{"server", report.id.str()},
                                   {"life", report.life},
@@ -116,7 +116,7 @@
                                   {"rack", report.rack.str()},
                                   {"leaving", report.leaving},
                                   {"reborn", reborn}});
-        view.next_look = std::min(view.next_look, now);
+        view.next_look = std::min(view.next_look, shared_.now());
         if (leading_) {
             room_changed_();
         }
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -1,10 +1,12 @@
 #include "fleet/call_budget.h"
 #include "fleet/group.h"
+#include "fleet/refusal.h"
 #include "fleet/server_view.h"
 
 #include "fakes/replica_group.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace fescue;
 using namespace fescue::fleet;
@@ -209,3 +211,14 @@
     CHECK_FALSE(slow.take(start + 1s));
     CHECK(slow.take(start + 2100ms));
 }
+
+TEST_CASE("refusal: a reason with quotes or broken text is still proper JSON")
+{
+    for (const std::string why : {"\"path\" is not text", "line\nbreak", "\xff\xfe"}) {
+        const auto out = refusal(400, "bad_request", why);
+        CHECK(out.status == 400);
+        const auto body = nlohmann::json::parse(out.body, nullptr, false);
+        REQUIRE(body.is_object());
+        CHECK(body["error"] == "bad_request");
+    }
+}
