A wave goes on without a machine that has left the fleet

Two machines had left the fleet before their turn: the list shows them no more, and a machine without an entry was never ready. The same held for one that leaves while it is down. Ruled out: late orders (all answered at once), the cap (never used up). Change: a machine that two complete lists in a row do not show is ordered to maintenance; the machine service answers that there is no such machine, which closes it. One that left after its order was accepted counts as done. Unit case, both ways, fails without.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -13,6 +13,9 @@
 /** After an order, the list is read again this often until it shows the outcome. */
 constexpr milliseconds list_period{800};
 constexpr milliseconds plan_period{100};
+/** So many lists in a row without a machine say that it is gone: the pages of one are not read at
+ * the same moment, and may miss a machine that changes meanwhile. */
+constexpr std::size_t lists_to_be_gone = 2;
 /** An order that is applied this soon after it was given is taken for one of this moment. */
 constexpr milliseconds fresh_order{500};
 /** The most that two machines' wall clocks are taken to differ; a step of one may be 2 s. */
@@ -46,6 +49,7 @@
     term_ = shared_.fence();
     orders_.clear();
     withheld_.clear();
+    unlisted_.clear();
     reading_ = false;
     list_wanted_ = true;
     list_read_ = mono_time{};
@@ -159,9 +163,31 @@
                              (o.to.empty() || m->pool == o.to);
         list_wanted_ = list_wanted_ || !settled;
     }
+    count_unlisted();
     log::info("machine_list", {{"machines", machines_.size()}});
 }
 
+void machine_driver::count_unlisted()
+{
+    std::map<std::string, std::size_t> now_unlisted;
+    for (const auto& [id, wave] : shared_.state().waves) {
+        for (const auto& [machine, m] : wave.machines) {
+            if (!m.done && !machines_.contains(machine)) {
+                const std::size_t lists = unlisted_[machine] + 1;
+                now_unlisted[machine] = lists;
+                list_wanted_ = list_wanted_ || lists < lists_to_be_gone;
+            }
+        }
+    }
+    unlisted_ = std::move(now_unlisted);
+}
+
+bool machine_driver::unlisted(const std::string& machine) const
+{
+    const auto known = unlisted_.find(machine);
+    return known != unlisted_.end() && known->second >= lists_to_be_gone;
+}
+
 const machine_entry* machine_driver::entry_of(const std::string& machine) const
 {
     const auto found = machines_.find(machine);
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -52,6 +52,10 @@
     void read_page(const std::string& page);
     void took_page(const result<machine_page>& page);
     const machine_entry* entry_of(const std::string& machine) const;
+    /** Counts the lists in a row that do not show a machine that an open wave is to maintain. */
+    void count_unlisted();
+    /** @return whether the machine has left the fleet, as far as the lists tell. */
+    bool unlisted(const std::string& machine) const;
     const server_view* server_on(const machine_entry& entry) const;
     // ---- maintenance
     void drive_wave(const std::string& id, const jobs::upkeep_wave& wave);
@@ -79,6 +83,7 @@
     std::map<std::string, open_order> orders_;
     /** Machines that are being emptied for maintenance, with the servers on them. */
     std::map<std::string, server_id> withheld_;
+    std::map<std::string, std::size_t> unlisted_;
     /** The newest order for each machine in the log: its term, and when it was given at the
      * latest. A machine that is not here was never ordered. */
     struct noted_order {
--- a/src/fleet/machine_upkeep.cpp
+++ b/src/fleet/machine_upkeep.cpp
@@ -32,6 +32,11 @@
     const bool moving = order != orders_.end() && !order->second.to.empty();
     out.ready = entry != nullptr && entry->state == machine_state::up && !moving;
     out.withheld = withheld_.contains(machine);
+    if (entry == nullptr && unlisted(machine)) {
+        // There is nothing to empty; the machine service will say that there is no such machine.
+        out.ready = true;
+        out.withheld = true;
+    }
     const server_view* server = entry == nullptr ? nullptr : server_on(*entry);
     if (server == nullptr) {
         return out;
@@ -166,6 +171,11 @@
         orders_.erase(known);
         withheld_.erase(machine);
         shared_.log.propose_here(jobs::step_upkeep{wave, machine, true, false});
+    } else if (list_is_newer && unlisted(machine)) {
+        log::info("upkeep_machine_gone", {{"machine", machine}, {"wave", wave}});
+        orders_.erase(known);
+        withheld_.erase(machine);
+        shared_.log.propose_here(jobs::step_upkeep{wave, machine, true, true});
     } else if (list_is_newer) {
         list_wanted_ = true;
     }
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -372,6 +372,61 @@
     CHECK_FALSE(view.withheld);
 }
 
+TEST_CASE("machines: a wave ends although one of its machines has left the fleet")
+{
+    for (const bool while_down : {false, true}) {
+        one_leader leader;
+        std::vector<std::string> asked;
+        int lists = 0;
+        http::server* answers = nullptr;
+        http::server service{
+            leader.loop, [&](http::exchange_id x, http::request&& in) {
+                if (in.method == "GET") {
+                    const bool listed = while_down && ++lists <= 1;
+                    nlohmann::json list{{"machines", nlohmann::json::array()},
+                                        {"next_token", nullptr}};
+                    const auto entry = [](const char* id) {
+                        return nlohmann::json{
+                            {"machine", id},
+                            {"pool", "p"},
+                            {"state", "up"},
+                            {"zone", "z"},
+                            {"labels", {"a", "r1"}},
+                            {"capacity", {{"cpu", 64000}, {"mem_mb", 1000}, {"gpu", 0}}},
+                            {"id", id}};
+                    };
+                    list["machines"].push_back(entry("m-other"));
+                    if (listed) {
+                        list["machines"].push_back(entry("m-left"));
+                    }
+                    answers->respond(x, {200, "application/json", list.dump(), {}});
+                    return;
+                }
+                asked.push_back(nlohmann::json::parse(in.body).value("machine", ""));
+                // Before it left, the order was carried out; after that it is not known any more.
+                answers->respond(x, {while_down ? 200 : 400, "application/json", "{}", {}});
+            }};
+        answers = &service;
+        REQUIRE_FALSE(service.listen({"127.0.0.1", first_port + 10}, {}));
+        leader.settings.machines.address = "127.0.0.1:" + std::to_string(first_port + 10);
+        leader.settings.machines.orders_per_s = 10;
+        leader.settings.machines.reads_per_s = 10;
+        leader.settings.bounds.upkeep_ms = 200;
+        jobs::document doc;
+        doc.version = 1;
+        doc.pools.emplace(pool_id{"p"}, jobs::job_pool{});
+        leader.log.propose_here(jobs::put_document{doc});
+        leader.log.propose_here(jobs::start_upkeep{"1", {"m-left"}, 20'000, 1, wall_now()});
+        leader.drive(100ms);
+        dispatcher work{leader.shared, leader.driver};
+        machine_driver machines{leader.shared, leader.driver, work};
+        machines.lead();
+        const auto ticker = leader.loop.every(20ms, [&] { machines.tick(); });
+        CHECK(leader.until([&] { return leader.log.state().waves.at("1").is_done(); }, 6s));
+        CHECK(asked == std::vector<std::string>{"m-left"});
+    }
+}
+
 TEST_CASE("client: a request that was given up does not reach its server later")
 {
     event_loop loop;
