HTTP server: log the responses that are not sent when it is closed

Callers saw connections that ended without an answer while entries stopped; the entry logged stopped open_calls=0, which does not tell an answer that was queued and never written from none at all. MHD's reason for the end of an exchange was ignored. Now an exchange that the daemon's end cuts is a warning with request, age, and whether it had been received whole and answered; stopped counts them. No logic changes.

--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -90,6 +90,8 @@
     void respond(exchange_id id, response&& reply);
     /** @return the number of exchanges without a response. */
     std::size_t open_exchanges() const noexcept;
+    /** @return the number of exchanges that have begun and whose response is not yet written. */
+    std::size_t unfinished_exchanges() const noexcept;
     /** Stops accepting connections; open exchanges continue. */
     void stop_accepting();
 
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -237,7 +237,8 @@
         const auto elapsed = now - shutdown_started;
         const milliseconds limit = milliseconds{settings.bounds.grace_ms} - shutdown_margin;
         if ((elapsed >= readiness_drain_time && open_calls.empty()) || elapsed >= limit) {
-            log::info("stopped", {{"open_calls", open_calls.size()}});
+            log::info("stopped", {{"open_calls", open_calls.size()},
+                                  {"unfinished", caller_server->unfinished_exchanges()}});
             loop.stop();
         }
     }
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -433,7 +433,8 @@
         log->replica().resign(loop.now());
         runs->on_leadership_lost();
         timers.push_back(loop.after(shutdown_time, [this] {
-            log::info("stopped", {{"open_calls", control_server->open_exchanges()}});
+            log::info("stopped", {{"open_calls", control_server->open_exchanges()},
+                                  {"unfinished", control_server->unfinished_exchanges()}});
             loop.stop();
         }));
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/http/server.h"
 
+#include "fescuestream/base/log.h"
+
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -19,9 +21,13 @@
 
 struct exchange {
     exchange_id id{0};
+    /** Moved to the handler once the request is complete. */
     request incoming;
+    /** Method and path of the request, for the log. */
+    std::string request_line;
     std::optional<response> reply;
     MHD_Connection* connection{nullptr};
+    mono_time began_at{};
     bool dispatched{false};
     bool suspended{false};
     bool too_large{false};
@@ -74,6 +80,7 @@
     timer_handle poll_timer;
     exchange_id next_id{1};
     std::unordered_map<exchange_id, exchange*> open_exchanges;
+    std::size_t unfinished_exchanges{0};
     bool run_pending{false};
     bool close_connections{false};
     std::vector<std::string> kept_header_names;
@@ -101,6 +108,8 @@
         auto created = std::make_unique<exchange>();
         created->id = next_id++;
         created->connection = connection;
+        created->began_at = loop.now();
+        created->request_line = std::string{method} + " " + url;
         created->incoming.method = method;
         created->incoming.path = url;
         created->incoming.authorization = find_header(connection, "Authorization");
@@ -113,6 +122,7 @@
             created->incoming.captured_headers.push_back(find_header(connection, name.c_str()));
         }
         *context = created.release();
+        ++unfinished_exchanges;
         return MHD_YES;
     }
 
@@ -179,13 +189,28 @@
     }
 
     static void on_request_completed(void* user_data, MHD_Connection* /*connection*/,
-                                     void** context, MHD_RequestTerminationCode /*reason*/)
+                                     void** context, MHD_RequestTerminationCode reason)
     {
         const std::unique_ptr<exchange> ex{static_cast<exchange*>(*context)};
-        if (ex) {
-            static_cast<impl*>(user_data)->open_exchanges.erase(ex->id);
-        }
         *context = nullptr;
+        if (!ex) {
+            return;
+        }
+        auto& self = *static_cast<impl*>(user_data);
+        self.open_exchanges.erase(ex->id);
+        --self.unfinished_exchanges;
+        if (reason == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
+            self.log_unsent_response(*ex);
+        }
+    }
+
+    void log_unsent_response(const exchange& ex) const
+    {
+        const auto age = std::chrono::duration_cast<milliseconds>(loop.now() - ex.began_at);
+        log::warning("response_not_sent", {{"request", ex.request_line},
+                                           {"age_ms", age.count()},
+                                           {"received", ex.dispatched},
+                                           {"answered", ex.reply.has_value()}});
     }
 };
 
@@ -280,6 +305,11 @@
     return impl_->open_exchanges.size();
 }
 
+std::size_t server::unfinished_exchanges() const noexcept
+{
+    return impl_->unfinished_exchanges;
+}
+
 void server::stop_accepting()
 {
     if (impl_->daemon != nullptr) {
