Entry: a stopping entry writes every answer before it exits

Cause: the entry stopped its loop in the iteration in which it queued the last answer, and libmicrohttpd writes a response only in a later one; at the end of the grace period it stopped with calls open. Change: the server tells when it is drained: it accepts no more, every response is written and no request has come for a while. The entry exits only then; 700 ms before the end of the grace period it answers what is open, 504 where a leader has the call, 503 where none has.

--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -92,8 +92,18 @@
     std::size_t open_exchanges() const noexcept;
     /** @return the number of exchanges that have begun and whose response is not yet written. */
     std::size_t unfinished_exchanges() const noexcept;
-    /** Stops accepting connections; open exchanges continue. */
+    /** Sends the same response to every exchange that has none yet. */
+    void respond_to_all(const response& reply);
+    /**
+     * Stops accepting connections. Requests on open connections are still handled; each connection
+     * is closed after its next response.
+     */
     void stop_accepting();
+    /**
+     * @return whether the server has stopped accepting, has written the response to every request,
+     * and has received none for a while, so that closing it cuts no exchange.
+     */
+    bool is_drained() const;
 
     struct impl;
 
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -4,6 +4,7 @@
 
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/metrics.h"
+#include "fescuestream/base/shutdown_schedule.h"
 
 #include <fmt/format.h>
 
@@ -26,8 +27,6 @@
 /** The load balancer takes an entry out of rotation after two failed readiness checks, a second
  * apart. */
 constexpr milliseconds readiness_drain_time{2500};
-/** The process exits this long before the grace period ends, so that it is not killed. */
-constexpr milliseconds shutdown_margin{700};
 
 constexpr int ok_status = 200;
 constexpr int service_unavailable = 503;
@@ -54,8 +53,7 @@
     std::unique_ptr<http::server> caller_server;
     std::unique_ptr<http::server> readiness_server;
     timer_handle ticker;
-    mono_time shutdown_started{};
-    bool shutting_down{false};
+    shutdown_schedule shutdown;
 
     struct open_call {
         http::exchange_id exchange{0};
@@ -110,7 +108,7 @@
     bool ready() const
     {
         const instance_id& leader = peers->leader().id;
-        return !shutting_down && !leader.empty() && peers->is_connected(leader);
+        return !shutdown.has_begun() && !leader.empty() && peers->is_connected(leader);
     }
 
     void handle_readiness_request(http::exchange_id id, const http::request& in)
@@ -140,6 +138,11 @@
         c.call.body = std::move(in.body);
         const auto number = c.call.call_id;
         open_call& stored = open_calls.emplace(number, std::move(c)).first->second;
+        if (shutdown.is_answer_due(loop.now())) {
+            respond_with_error(stored);
+            open_calls.erase(number);
+            return;
+        }
         forward(stored);
     }
 
@@ -220,23 +223,36 @@
             if (!no_leader_in_time && now < c.deadline) {
                 return false;
             }
-            if (c.was_sent) {
-                respond(c, gateway_timeout, R"({"error":"outcome_unknown"})", 0);
-            } else {
-                respond(c, service_unavailable, R"({"error":"no_leader"})", no_leader_retry_ms);
-            }
+            respond_with_error(c);
             return true;
         });
-        if (shutting_down) {
-            stop_if_drained(now);
+        if (shutdown.has_begun()) {
+            continue_shutdown(now);
+        }
+    }
+
+    /** Answers a call that no leader has answered. */
+    void respond_with_error(const open_call& c)
+    {
+        if (c.was_sent) {
+            respond(c, gateway_timeout, R"({"error":"outcome_unknown"})", 0);
+        } else {
+            respond(c, service_unavailable, R"({"error":"no_leader"})", no_leader_retry_ms);
         }
     }
 
-    void stop_if_drained(mono_time now)
+    void continue_shutdown(mono_time now)
     {
-        const auto elapsed = now - shutdown_started;
-        const milliseconds limit = milliseconds{settings.bounds.grace_ms} - shutdown_margin;
-        if ((elapsed >= readiness_drain_time && open_calls.empty()) || elapsed >= limit) {
+        if (shutdown.elapsed(now) >= readiness_drain_time || shutdown.is_answer_due(now)) {
+            caller_server->stop_accepting();
+        }
+        if (shutdown.is_answer_due(now)) {
+            for (const auto& [number, c] : open_calls) {
+                respond_with_error(c);
+            }
+            open_calls.clear();
+        }
+        if (caller_server->is_drained() || shutdown.is_exit_due(now)) {
             log::info("stopped", {{"open_calls", open_calls.size()},
                                   {"unfinished", caller_server->unfinished_exchanges()}});
             loop.stop();
@@ -245,12 +261,11 @@
 
     void shut_down()
     {
-        if (shutting_down) {
+        if (shutdown.has_begun()) {
             return;
         }
         log::info("stopping", {{"open_calls", open_calls.size()}});
-        shutting_down = true;
-        shutdown_started = loop.now();
+        shutdown.begin(loop.now(), milliseconds{settings.bounds.grace_ms});
         caller_server->close_after_answers();
     }
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -17,6 +17,8 @@
 
 constexpr unsigned max_connections = 8192;
 constexpr milliseconds daemon_poll_period{250};
+/** A request that was sent before the listening socket closed arrives within this time. */
+constexpr milliseconds drain_quiet_time{100};
 constexpr std::string_view bearer_prefix = "Bearer ";
 
 struct exchange {
@@ -81,6 +83,9 @@
     exchange_id next_id{1};
     std::unordered_map<exchange_id, exchange*> open_exchanges;
     std::size_t unfinished_exchanges{0};
+    /** Time of the last end of an exchange, or when the server stopped accepting. */
+    mono_time last_activity{};
+    bool accepting{true};
     bool run_pending{false};
     bool close_connections{false};
     std::vector<std::string> kept_header_names;
@@ -199,6 +204,7 @@
         auto& self = *static_cast<impl*>(user_data);
         self.open_exchanges.erase(ex->id);
         --self.unfinished_exchanges;
+        self.last_activity = self.loop.now();
         if (reason == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
             self.log_unsent_response(*ex);
         }
@@ -312,11 +318,34 @@
 
 void server::stop_accepting()
 {
-    if (impl_->daemon != nullptr) {
-        const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
-        if (listener != MHD_INVALID_SOCKET) {
-            close(listener);
-        }
+    if (impl_->daemon == nullptr || !impl_->accepting) {
+        return;
+    }
+    impl_->accepting = false;
+    impl_->close_connections = true;
+    impl_->last_activity = impl_->loop.now();
+    // Closing the listening socket resets the connections that have not been accepted.
+    impl_->run_daemon();
+    const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+        close(listener);
+    }
+}
+
+bool server::is_drained() const
+{
+    return !impl_->accepting && impl_->unfinished_exchanges == 0 &&
+           impl_->loop.now() - impl_->last_activity >= drain_quiet_time;
+}
+
+void server::respond_to_all(const response& reply)
+{
+    std::vector<exchange_id> ids;
+    for (const auto& [id, ex] : impl_->open_exchanges) {
+        ids.push_back(id);
+    }
+    for (const exchange_id id : ids) {
+        respond(id, response{reply});
     }
 }
 
--- /dev/null
+++ b/tests/e2e/test_job_shutdown.py
@@ -0,0 +1,107 @@
+"""Instances of the job service that are stopped while they owe answers: every request that was read whole gets a
+complete response before the process exits."""
+
+import http.client
+import json
+import pathlib
+import shutil
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+
+from fleet import BUILD, wait_for
+
+SCHEDULERS = ["127.0.0.21", "127.0.0.22", "127.0.0.23"]
+ENTRY = "127.0.0.24"
+PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT = 7510, 7511, 7512, 7513
+GRACE_SECONDS = 6
+
+
+def request(address, port, method, path, headers=None, body=None, timeout=15):
+    """Sends one request. Returns its status, or the name of the error that ended the connection without a response."""
+    connection = http.client.HTTPConnection(address, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        response.read()
+        return response.status
+    except (OSError, http.client.HTTPException) as e:
+        return type(e).__name__
+    finally:
+        connection.close()
+
+
+class Call(threading.Thread):
+    """A request in a thread of its own."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(daemon=True)
+        self.args, self.kwargs, self.outcome = args, kwargs, None
+        self.start()
+
+    def run(self):
+        self.outcome = request(*self.args, **self.kwargs)
+
+    def result(self, timeout=15):
+        self.join(timeout)
+        return self.outcome
+
+
+class JobServiceShutdown(unittest.TestCase):
+    def setUp(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fescue-job-shutdown-"))
+        self.processes = {}
+        self.addCleanup(self.stop_all)
+        for address in [*SCHEDULERS, ENTRY]:
+            self.start(address)
+        wait_for("the entry to be ready", lambda: request(ENTRY, READY_PORT, "GET", "/readyz") == 200)
+
+    def start(self, address):
+        settings = {"role": "entry" if address == ENTRY else "scheduler", "id": address, "data_centre": "north",
+                    "listen": {"peers": f"{address}:{PEER_PORT}"}, "seeds": SCHEDULERS, "first_start": True,
+                    "cluster_secret": "e2e", "bounds": {"grace_s": GRACE_SECONDS}}
+        if address == ENTRY:
+            settings["listen"] |= {"callers": f"{address}:{CALLER_PORT}", "readiness": f"{address}:{READY_PORT}"}
+        else:
+            settings["listen"]["control"] = f"{address}:{CONTROL_PORT}"
+            settings["data_folder"] = str(self.folder / address)
+        file = self.folder / f"{address}.json"
+        file.write_text(json.dumps(settings))
+        with open(self.folder / f"{address}.log", "ab") as log:
+            self.processes[address] = subprocess.Popen([BUILD / "fescued", "--config", file], stdout=log, stderr=log)
+
+    def stop_all(self):
+        for p in self.processes.values():
+            p.send_signal(signal.SIGCONT)
+            p.kill()
+            p.wait()
+        shutil.rmtree(self.folder)
+
+    def signal_schedulers(self, number, but=None):
+        for address in SCHEDULERS:
+            if address != but:
+                self.processes[address].send_signal(number)
+
+    def stop_entry_with_open_call(self, deadline_ms):
+        """Returns the outcome of a call that no scheduler answers, on an entry that is stopped meanwhile."""
+        self.signal_schedulers(signal.SIGSTOP)
+        call = Call(ENTRY, CALLER_PORT, "GET", "/queue/00000000000000a1", {"Deadline-Ms": str(deadline_ms)})
+        time.sleep(0.3)
+        self.processes[ENTRY].send_signal(signal.SIGTERM)
+        outcome = call.result()
+        self.assertEqual(self.processes[ENTRY].wait(GRACE_SECONDS), 0)
+        return outcome
+
+    def test_last_answer_is_written_before_a_draining_entry_exits(self):
+        # The answer is due in the tick that finds no other call open, after the load balancer's two checks.
+        self.assertEqual(self.stop_entry_with_open_call(4000), 504)
+
+    def test_call_open_at_the_end_of_the_grace_period_is_answered(self):
+        self.assertEqual(self.stop_entry_with_open_call(9000), 504)
+
+
+if __name__ == "__main__":
+    unittest.main()
