Scheduler: a stopping scheduler answers the requests that it holds

Operators saw: a request that a scheduler had forwarded to a silent leader ended without an answer 700 ms after that scheduler got SIGTERM, though the grace period is seconds long. Cause: the scheduler exited a fixed time after SIGTERM, whatever was open, and a forwarded request waits up to 950 ms. Evidence: test_request_forwarded_by_a_stopping_scheduler_is_answered on the code before: 'RemoteDisconnected' != 503. Change: after the transfer of leadership it closes its control port to new connections and exits once its server is drained; what is open 700 ms before the end of the grace period gets 503.

--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -10,6 +10,7 @@
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/shutdown_schedule.h"
 
 #include <fmt/format.h>
 
@@ -26,8 +27,8 @@
 constexpr milliseconds forward_timeout{950};
 /** Ended jobs are retained this much longer than callers may query them. */
 constexpr std::int64_t job_retention_margin_ms = 5000;
-/** Time that a graceful shutdown allows for the leadership transfer and open requests. */
-constexpr milliseconds shutdown_time{700};
+/** Time for the transfer of leadership before a stopping scheduler closes its control port. */
+constexpr milliseconds leadership_transfer_time{700};
 constexpr int service_unavailable = 503;
 constexpr int ok_status = 200;
 /** Per server, one connection carries the long poll and the others carry orders; an order without
@@ -74,7 +75,7 @@
     std::unique_ptr<http::server> control_server;
     std::vector<timer_handle> timers;
     term_number leading_term{0};
-    bool shutting_down{false};
+    shutdown_schedule shutdown;
     int exit_code{0};
 
     struct forwarded_request {
@@ -115,7 +116,7 @@
         // Registered before the log's callback, so that the starts of a dispatch round are written
         // in the same batch as the other entries of the loop iteration.
         loop.on_iteration_end([this] {
-            if (task_dispatcher && !shutting_down) {
+            if (task_dispatcher && !shutdown.has_begun()) {
                 task_dispatcher->run_if_due();
             }
         });
@@ -194,7 +195,8 @@
     void housekeep()
     {
         const auto& replica = log->replica();
-        const bool leads = replica.settled() && membership->has_enough_voters() && !shutting_down;
+        const bool leads =
+            replica.settled() && membership->has_enough_voters() && !shutdown.has_begun();
         if (leads && (!runs->leading() || leading_term != replica.term())) {
             leading_term = replica.term();
             log::info("leading", {{"term", leading_term},
@@ -212,6 +214,9 @@
         broadcast_ended_servers();
         machines->tick();
         expire_forwards();
+        if (shutdown.has_begun()) {
+            continue_shutdown(loop.now());
+        }
     }
 
     bool may_serve() const { return runs->leading() && context->has_leader_lease(); }
@@ -424,19 +429,29 @@
 
     void shut_down()
     {
-        if (shutting_down) {
+        if (shutdown.has_begun()) {
             return;
         }
-        shutting_down = true;
+        shutdown.begin(loop.now(), milliseconds{settings.bounds.grace_ms});
         log::info("stopping", {{"leading", runs->leading()}});
         control_server->close_after_answers();
         log->replica().resign(loop.now());
         runs->on_leadership_lost();
-        timers.push_back(loop.after(shutdown_time, [this] {
+    }
+
+    void continue_shutdown(mono_time now)
+    {
+        if (shutdown.elapsed(now) >= leadership_transfer_time || shutdown.is_answer_due(now)) {
+            control_server->stop_accepting();
+        }
+        if (shutdown.is_answer_due(now)) {
+            control_server->respond_to_all(to_http({}));
+        }
+        if (control_server->is_drained() || shutdown.is_exit_due(now)) {
             log::info("stopped", {{"open_calls", control_server->open_exchanges()},
                                   {"unfinished", control_server->unfinished_exchanges()}});
             loop.stop();
-        }));
+        }
     }
 };
 
--- a/tests/e2e/test_job_shutdown.py
+++ b/tests/e2e/test_job_shutdown.py
@@ -85,6 +85,13 @@
             if address != but:
                 self.processes[address].send_signal(number)
 
+    def leader(self):
+        """The scheduler whose metrics or log show that it leads."""
+        for address in SCHEDULERS:
+            if "event=leading" in (self.folder / f"{address}.log").read_text():
+                return address
+        return None
+
     def stop_entry_with_open_call(self, deadline_ms):
         """Returns the outcome of a call that no scheduler answers, on an entry that is stopped meanwhile."""
         self.signal_schedulers(signal.SIGSTOP)
@@ -102,6 +109,16 @@
     def test_call_open_at_the_end_of_the_grace_period_is_answered(self):
         self.assertEqual(self.stop_entry_with_open_call(9000), 504)
 
+    def test_request_forwarded_by_a_stopping_scheduler_is_answered(self):
+        leader = wait_for("a leader", self.leader)
+        follower = next(a for a in SCHEDULERS if a != leader)
+        self.processes[leader].send_signal(signal.SIGSTOP)
+        call = Call(follower, CONTROL_PORT, "GET", "/config")
+        time.sleep(0.05)
+        self.processes[follower].send_signal(signal.SIGTERM)
+        self.assertEqual(call.result(), 503)
+        self.assertEqual(self.processes[follower].wait(GRACE_SECONDS), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
