HTTP server: read what has arrived before the server counts as drained

Cause: is_drained() judged by the requests that had been read; the loop's last iteration read another. Change: is_drained() handles what has arrived before it judges.

--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -100,10 +100,11 @@
      */
     void stop_accepting();
     /**
+     * Handles what has been received, so that no request is left unread.
      * @return whether the server has stopped accepting, has written the response to every request,
      * and has received none for a while, so that closing it cuts no exchange.
      */
-    bool is_drained() const;
+    bool is_drained();
 
     struct impl;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -332,9 +332,13 @@
     }
 }
 
-bool server::is_drained() const
+bool server::is_drained()
 {
-    return !impl_->accepting && impl_->unfinished_exchanges == 0 &&
+    if (impl_->accepting || impl_->daemon == nullptr) {
+        return false;
+    }
+    impl_->run_daemon();
+    return impl_->unfinished_exchanges == 0 &&
            impl_->loop.now() - impl_->last_activity >= drain_quiet_time;
 }
 
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -104,6 +104,24 @@
     return server.requests - 1;
 }
 
+/** Connects a blocking socket to a port on loopback. */
+int connect_to(std::uint16_t port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    return fd;
+}
+
+void run_for(event_loop& loop, milliseconds duration)
+{
+    const auto timer = loop.after(duration, [&loop] { loop.stop(); });
+    loop.run();
+}
+
 } // namespace
 
 TEST_CASE("http client: libcurl resends on a reused connection, but not on a fresh one")
@@ -145,6 +163,35 @@
     CHECK(received_bytes == server::max_body_bytes);
 }
 
+TEST_CASE(
+    "http server: a request that has arrived but is not read keeps the server from being drained")
+{
+    event_loop loop;
+    server* self = nullptr;
+    server s{loop, [&](exchange_id id, http::request&& /*in*/) {
+                 self->respond(id, {200, "text/plain", "ok", {}});
+             }};
+    self = &s;
+    constexpr std::uint16_t port = 19998;
+    REQUIRE_FALSE(s.listen({"127.0.0.1", port}, {}));
+    const int fd = connect_to(port);
+    run_for(loop, milliseconds{20});
+    s.stop_accepting();
+    run_for(loop, milliseconds{150});
+    constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    REQUIRE(send(fd, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+    CHECK_FALSE(s.is_drained());
+    run_for(loop, milliseconds{150});
+    CHECK(s.is_drained());
+    std::array<char, 4096> buffer{};
+    const auto size = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    REQUIRE(size > 0);
+    const std::string_view response{buffer.data(), static_cast<std::size_t>(size)};
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(response.find("Connection: close") != std::string_view::npos);
+    close(fd);
+}
+
 TEST_CASE("parse_endpoint accepts only IP:PORT")
 {
     CHECK(ok(parse_endpoint("127.0.0.1:80")));
