Schedulers: a voter that is gone is removed before another disk may be lost

Cause: the successor joined as a fourth voter within half a second, but the voter that was gone stayed for 10 s. In that time the majority was three of four, one voter was gone for good, and the lost disk left two: no leader could be elected again. The platform relies on a successor four seconds after its start.

Change: a silent voter is removed after 2.5 s instead of 10 s, as before only if three others remain. A scheduler that is merely cut off or without power for longer is added again when it is back.

--- a/src/fleet/scheduler_group.cpp
+++ b/src/fleet/scheduler_group.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 
-/** Largest replication lag, in entries, at which a learner may become a voter. */
-constexpr log_index max_learner_lag = 64;
-/** A disconnected voter that has been silent for longer is removed, if enough others remain.
- * Several times as long as a restart and the election that follows it. */
-constexpr milliseconds voter_removal_timeout{10'000};
+/** A disconnected voter that has been silent for longer is removed, if enough others remain. Longer
+ * than a restart, and shorter than the time after which a scheduler that replaces a removed one is
+ * relied on: from then on another disk may be lost, and the voters that are gone must not count. */
+constexpr milliseconds voter_removal_timeout{2500};
 /** Removals leave at least this many voters: with two, losing one disk would end the group. */
 constexpr std::size_t min_voters_after_removal = 3;
 
@@ -153,9 +152,7 @@
         return;
     }
     const auto caught_up = [&](const instance_id& id, incarnation disk) {
-        const auto p = replica.peers().find(id);
-        return p != replica.peers().end() && p->second.disk == disk &&
-               p->second.match + max_learner_lag >= replica.last_index();
+        return is_caught_up(replica, id, disk);
     };
     const voter_change change =
         plan_voters(replica.voters(), context_.settings.id, peers_, caught_up, context_.now());
--- a/src/fleet/scheduler_group.h
+++ b/src/fleet/scheduler_group.h
@@ -24,6 +24,18 @@
     mono_time last_heard{};
 };
 
+/** Largest replication lag, in entries, at which a learner may become a voter. */
+inline constexpr log_index max_learner_lag = 64;
+
+/** @return whether the peer with this disk has replicated nearly the whole log of this leader. */
+template <class Replica>
+bool is_caught_up(const Replica& leader, const instance_id& id, incarnation disk)
+{
+    const auto found = leader.peers().find(id);
+    return found != leader.peers().end() && found->second.disk == disk &&
+           found->second.match + max_learner_lag >= leader.last_index();
+}
+
 /** The next change of the voter configuration, if any; the leader makes one change at a time. */
 struct voter_change {
     enum class kind : std::uint8_t { none, add, replace, remove };
