Schedulers: serve only with the voters that the tolerated disk losses need

At two tolerated disk losses (the large sites) a scheduler served with three voters, as at one: what two of three disks held was acknowledged, and with two disks lost there was no majority left to elect a leader. Removing silent voters also stopped at three.

Small groups of one or two seeds serve as before.

--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -59,6 +59,8 @@
     std::vector<std::string> seeds;
     /** Whether this instance may form the first consensus group (bootstrap). */
     bool first_start{false};
+    /** Disks that may be lost at the same time without loss of what was acknowledged. */
+    std::size_t tolerated_disk_losses{1};
     std::string data_folder;
     std::string cluster_secret;
     machine_service machines;
--- a/src/fleet/scheduler_group.cpp
+++ b/src/fleet/scheduler_group.cpp
@@ -14,8 +14,6 @@
  * than a restart, and shorter than the time after which a scheduler that replaces a removed one is
  * relied on: from then on another disk may be lost, and the voters that are gone must not count. */
 constexpr milliseconds voter_removal_timeout{2500};
-/** Removals leave at least this many voters: with two, losing one disk would end the group. */
-constexpr std::size_t min_voters_after_removal = 3;
 
 consensus::configuration without_voter(consensus::configuration c, const consensus::voter& v)
 {
@@ -28,7 +26,7 @@
 voter_change plan_voters(const consensus::configuration& current, const instance_id& self,
                          const std::map<instance_id, scheduler_peer>& peers,
                          const std::function<bool(const instance_id&, incarnation)>& caught_up,
-                         mono_time now)
+                         std::size_t min_voters, mono_time now)
 {
     for (const auto& [id, peer] : peers) {
         const consensus::voter candidate{id, peer.disk};
@@ -52,7 +50,7 @@
         const bool alive = v.id == self || (peer != peers.end() && peer->second.connected);
         const bool dead =
             !alive && peer != peers.end() && now - peer->second.last_heard > voter_removal_timeout;
-        if (dead && current.voters.size() > min_voters_after_removal) {
+        if (dead && current.voters.size() > min_voters) {
             return {voter_change::kind::remove, v, without_voter(current, v)};
         }
     }
@@ -104,7 +102,7 @@
 
 std::size_t scheduler_group::min_voters() const
 {
-    return std::min(min_voters_after_removal, context_.settings.seeds.size());
+    return voters_to_serve(context_.settings.seeds.size(), context_.settings.tolerated_disk_losses);
 }
 
 bool scheduler_group::has_enough_voters() const
@@ -155,7 +153,8 @@
         return is_caught_up(replica, id, disk);
     };
     const voter_change change =
-        plan_voters(replica.voters(), context_.settings.id, peers_, caught_up, context_.now());
+        plan_voters(replica.voters(), context_.settings.id, peers_, caught_up,
+                    voters_to_tolerate(context_.settings.tolerated_disk_losses), context_.now());
     if (change.action != voter_change::kind::none && replica.propose_configuration(change.next)) {
         log::info("voters_change", {{"voter", change.voter.id.str()},
                                     {"added", change.action != voter_change::kind::remove},
--- a/src/fleet/scheduler_group.h
+++ b/src/fleet/scheduler_group.h
@@ -11,6 +11,7 @@
 
 #include "fescuestream/wire/message.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -47,11 +48,32 @@
 /**
  * Chooses the next voter change; a pure function.
  * @param caught_up returns whether the peer with this disk has replicated nearly the whole log.
+ * @param min_voters a removal leaves at least this many voters.
  */
 voter_change plan_voters(const consensus::configuration& current, const instance_id& self,
                          const std::map<instance_id, scheduler_peer>& peers,
                          const std::function<bool(const instance_id&, incarnation)>& caught_up,
-                         mono_time now);
+                         std::size_t min_voters, mono_time now);
+
+/**
+ * @return the number of voters with which this many of them may lose their disks: each committed
+ * entry is left on another disk, and a majority is left to elect a leader. At least three, since
+ * with two the loss of one disk would end the group.
+ */
+constexpr std::size_t voters_to_tolerate(std::size_t disk_losses) noexcept
+{
+    return 2 * std::max<std::size_t>(disk_losses, 1) + 1;
+}
+
+/**
+ * @return the number of voters needed to serve; a group with fewer than three seeds has no other
+ * schedulers.
+ */
+constexpr std::size_t voters_to_serve(std::size_t seeds, std::size_t disk_losses) noexcept
+{
+    const std::size_t needed = voters_to_tolerate(disk_losses);
+    return seeds < voters_to_tolerate(1) ? std::min(seeds, needed) : needed;
+}
 
 class scheduler_group {
 public:
@@ -64,8 +86,8 @@
     /** Bootstraps the group if this instance is responsible for that; changes the voters if it
      * leads. */
     void tick();
-    /** @return whether there are enough voters for an acknowledged entry to survive the loss of a
-     * disk. */
+    /** @return whether there are enough voters for an acknowledged entry to survive the tolerated
+     * losses of disks. */
     bool has_enough_voters() const;
     std::vector<instance_id> schedulers() const;
     /** @return the connected schedulers other than this one, by data centre. */
@@ -73,8 +95,7 @@
 
 private:
     void bootstrap_if_responsible();
-    /** @return the number of voters below which this instance accepts no orders; no deployment has
-     * fewer schedulers. */
+    /** @return the number of voters below which this instance accepts no orders. */
     std::size_t min_voters() const;
 
     core_context& context_;
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::int64_t max_duration_ms = 3'600'000;
+constexpr std::int64_t max_tolerated_disk_losses = 100;
 constexpr double max_rate_per_s = 100'000;
 
 void read_addresses(json::object_reader& top, job_service_settings& out,
@@ -119,6 +120,9 @@
     read_addresses(top, out, field_errors);
     read_seeds(top, out);
     out.first_start = top.flag("first_start", false);
+    out.tolerated_disk_losses =
+        static_cast<std::size_t>(top.number("tolerated_disk_losses", {0, max_tolerated_disk_losses},
+                                            static_cast<std::int64_t>(out.tolerated_disk_losses)));
     out.data_folder = top.text("data_folder", "");
     out.cluster_secret = top.text("cluster_secret", "");
     read_machines(top, out.machines, field_errors);
--- a/tests/unit/disk_loss_test.cpp
+++ b/tests/unit/disk_loss_test.cpp
@@ -19,14 +19,19 @@
     return instance_id{"e" + std::to_string(n)};
 }
 
+bool contains(const std::vector<std::string>& list, const std::string& entry)
+{
+    return std::find(list.begin(), list.end(), entry) != list.end();
+}
+
 /**
  * A group whose leader changes the voters by plan_voters, and a client whose commands must survive.
  */
 class planned_group {
 public:
     planned_group(int count, std::uint64_t seed, const std::set<instance_id>& absent = {},
-                  consensus::timing intervals = {})
-        : members{count, seed, intervals}
+                  std::size_t min_voters = voters_to_tolerate(1), consensus::timing intervals = {})
+        : members{count, seed, intervals}, min_voters_{min_voters}
     {
         for (const instance_id& member : absent) {
             members.crash(member);
@@ -66,7 +71,7 @@
     void submit(const std::string& command)
     {
         auto* leader = members.leader();
-        if (leader != nullptr && leader->voters().voters.size() >= min_voters) {
+        if (leader != nullptr && leader->voters().voters.size() >= min_voters_) {
             leader->propose(command);
         }
     }
@@ -130,14 +135,14 @@
                 return is_caught_up(log, peer, disk);
             };
             const voter_change change =
-                plan_voters(m.log->voters(), name, peers, caught_up, members.now);
+                plan_voters(m.log->voters(), name, peers, caught_up, min_voters_, members.now);
             if (change.action != voter_change::kind::none) {
                 m.log->propose_configuration(change.next);
             }
         }
     }
 
-    static constexpr std::size_t min_voters = 3;
+    std::size_t min_voters_;
     std::map<std::pair<instance_id, instance_id>, mono_time> last_heard_;
     int step_{0};
 };
@@ -166,3 +171,55 @@
         CHECK(group.keeps_acknowledged());
     }
 }
+
+namespace {
+
+struct two_losses_outcome {
+    bool acknowledged_by_three{false};
+    bool kept{false};
+};
+
+/** Submits a command while three of five schedulers run, and one when all do; then two disks are
+ * lost. */
+two_losses_outcome lose_two_disks(std::size_t min_voters, std::uint64_t seed)
+{
+    planned_group group{5, seed, {id(3), id(4)}, min_voters};
+    group.submit("early");
+    group.run(20);
+    two_losses_outcome out;
+    out.acknowledged_by_three = contains(group.acknowledged, "early");
+    if (!out.acknowledged_by_three) {
+        group.power_on(id(3));
+        group.power_on(id(4));
+        group.run(4 * steps_per_second);
+        group.submit("late");
+        group.run(20);
+        REQUIRE(contains(group.acknowledged, "late"));
+    }
+    group.lose_disk(id(0));
+    group.lose_disk(id(1));
+    group.run(steps_per_second);
+    for (int i = 0; i < 5; ++i) {
+        if (!group.members.at(id(i)).log) {
+            group.power_on(id(i));
+        }
+    }
+    group.run(10 * steps_per_second);
+    out.kept = group.keeps_acknowledged();
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a command is not acknowledged before two disks may be lost, if that is tolerated")
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        const auto tolerant = lose_two_disks(voters_to_tolerate(2), seed);
+        CHECK_FALSE(tolerant.acknowledged_by_three);
+        CHECK(tolerant.kept);
+    }
+    const auto intolerant = lose_two_disks(voters_to_tolerate(1), 1);
+    CHECK(intolerant.acknowledged_by_three);
+    CHECK_FALSE(intolerant.kept);
+}
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -68,11 +68,11 @@
     const std::map<instance_id, scheduler_peer> peers{{second_id, {12, {}, true, now}},
                                                       {third_id, {13, {}, true, now}}};
     const auto current = make_configuration({{self_id, 11}});
-    const auto change = plan_voters(current, self_id, peers, always_caught_up, now);
+    const auto change = plan_voters(current, self_id, peers, always_caught_up, 3, now);
     CHECK(change.action == voter_change::kind::add);
     CHECK(change.next.voters.size() == 2);
     const auto never_caught_up = [](const instance_id&, incarnation) { return false; };
-    CHECK(plan_voters(current, self_id, peers, never_caught_up, now).action ==
+    CHECK(plan_voters(current, self_id, peers, never_caught_up, 3, now).action ==
           voter_change::kind::none);
 }
 
@@ -82,7 +82,7 @@
     const std::map<instance_id, scheduler_peer> peers{{second_id, {12, {}, true, now}},
                                                       {third_id, {99, {}, true, now}}};
     const auto current = make_configuration({{self_id, 11}, {second_id, 12}, {third_id, 13}});
-    const auto change = plan_voters(current, self_id, peers, always_caught_up, now);
+    const auto change = plan_voters(current, self_id, peers, always_caught_up, 3, now);
     CHECK(change.action == voter_change::kind::replace);
     CHECK(change.next.voters.size() == 3);
     CHECK(change.next.contains({third_id, 99}));
@@ -95,19 +95,50 @@
     std::map<instance_id, scheduler_peer> peers{{second_id, {12, {}, true, now}},
                                                 {third_id, {13, {}, false, now - 1min}}};
     const auto three = make_configuration({{self_id, 11}, {second_id, 12}, {third_id, 13}});
-    CHECK(plan_voters(three, self_id, peers, always_caught_up, now).action ==
+    CHECK(plan_voters(three, self_id, peers, always_caught_up, 3, now).action ==
           voter_change::kind::none);
     peers[fourth_id] = {14, {}, true, now};
     const auto four =
         make_configuration({{self_id, 11}, {second_id, 12}, {third_id, 13}, {fourth_id, 14}});
-    const auto change = plan_voters(four, self_id, peers, always_caught_up, now);
+    const auto change = plan_voters(four, self_id, peers, always_caught_up, 3, now);
     CHECK(change.action == voter_change::kind::remove);
     CHECK(change.voter.id == third_id);
     peers[third_id].last_heard = now - 2s;
-    CHECK(plan_voters(four, self_id, peers, always_caught_up, now).action ==
+    CHECK(plan_voters(four, self_id, peers, always_caught_up, 3, now).action ==
           voter_change::kind::none);
 }
 
+TEST_CASE("plan_voters: with two tolerated disk losses a dead voter is removed only if five remain")
+{
+    const mono_time now{1h};
+    const std::map<instance_id, scheduler_peer> peers{
+        {second_id, {12, {}, true, now}},
+        {third_id, {13, {}, true, now}},
+        {fourth_id, {14, {}, true, now}},
+        {instance_id{"10.0.0.5"}, {15, {}, true, now}},
+        {instance_id{"10.0.0.6"}, {16, {}, false, now - 1min}}};
+    auto voters = make_configuration({{self_id, 11},
+                                      {second_id, 12},
+                                      {third_id, 13},
+                                      {fourth_id, 14},
+                                      {instance_id{"10.0.0.6"}, 16}});
+    CHECK(plan_voters(voters, self_id, peers, always_caught_up, 5, now).action ==
+          voter_change::kind::add);
+    voters.voters.push_back({instance_id{"10.0.0.5"}, 15});
+    CHECK(plan_voters(voters, self_id, peers, always_caught_up, 5, now).action ==
+          voter_change::kind::remove);
+    CHECK(plan_voters(voters, self_id, peers, always_caught_up, 7, now).action ==
+          voter_change::kind::none);
+}
+
+TEST_CASE("voters_to_serve: two voters for each tolerated disk loss and one more")
+{
+    CHECK(voters_to_serve(3, 1) == 3);
+    CHECK(voters_to_serve(3, 2) == 5);
+    CHECK(voters_to_serve(3, 0) == 3);
+    CHECK(voters_to_serve(1, 1) == 1);
+}
+
 TEST_CASE("leader lease: it expires on a partitioned leader before another leader can be elected")
 {
     fakes::replica_group<> group{3, 5};
