Replica: a match confirmed to an earlier term is not reported to a later one

What callers could see: an accepted job gone after a change of leader.

Cause: replies to a leader are merged until the next sync, and the merged reply carried the highest match of all. A follower that was suspended reads the requests of several terms in one iteration. If a leader lost its tail to another leader and leads again, the follower confirmed entries of the old term that it had just removed, and the leader counted it towards the commit of its new entries at those positions.

Change: the pending replies are dropped when the term rises.

Evidence: the test with the code before: "CHECK( f.replies.front().match == 3 ) is NOT correct! values: CHECK( 5 == 3 )"; it passes with the change.

--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -425,6 +425,8 @@
         hard_state_.voted_for = instance_id{};
         store_.save_hard_state(hard_state_);
         leader_ = instance_id{};
+        // Their matches were confirmed to a leader of an earlier term, whose entries may be gone.
+        pending_replies_.clear();
     }
     if (role_ == role::leader) {
         lease_until_ = std::max(lease_until_, quorum_contact() + timing_.lease);
--- /dev/null
+++ b/tests/unit/replica_messages_test.cpp
@@ -0,0 +1,77 @@
+#include "fakes/replica_group.h"
+
+#include <doctest/doctest.h>
+
+using namespace fescue;
+using namespace fescue::consensus;
+
+namespace {
+
+const instance_id self_id{"f"};
+const instance_id leader_id{"a"};
+
+std::string encoded_voters()
+{
+    return to_bytes(configuration{7, {{leader_id, 1}, {self_id, 2}, {instance_id{"b"}, 3}}});
+}
+
+store::log_entry entry(term_number term, log_index index)
+{
+    return {term, index, store::entry_kind::command,
+            "c" + std::to_string(index) + "." + std::to_string(term)};
+}
+
+append_request append(term_number term, log_index prev_index, term_number prev_term,
+                      std::vector<store::log_entry> entries, log_index commit = 0)
+{
+    append_request out;
+    out.term = term;
+    out.prev_index = prev_index;
+    out.prev_term = prev_term;
+    out.entries = std::move(entries);
+    out.commit = commit;
+    return out;
+}
+
+template <class Store = fakes::fake_store<>>
+struct follower {
+    std::shared_ptr<fakes::fake_disk> disk = std::make_shared<fakes::fake_disk>();
+    mono_time now{std::chrono::hours{1}};
+    replica<Store> log{self_id, 2, Store{disk}, {}, "noop", {}, 1, now};
+    std::vector<append_reply> replies;
+
+    follower()
+    {
+        step(append(1, 0, 0, {{1, 1, store::entry_kind::configuration, encoded_voters()}}));
+    }
+    void step(const message& m) { log.step(leader_id, m, now); }
+    status flush()
+    {
+        return log.flush(now, {[this](const instance_id&, const message& m) {
+                                   if (const auto* reply = std::get_if<append_reply>(&m)) {
+                                       replies.push_back(*reply);
+                                   }
+                               },
+                               [](const store::log_entry&) {},
+                               [](const store::snapshot&) {},
+                               {}});
+    }
+};
+
+} // namespace
+
+TEST_CASE("a follower that was suspended does not acknowledge entries of a leader's earlier term")
+{
+    follower<> f;
+    REQUIRE_FALSE(f.flush());
+    f.replies.clear();
+    // All of this is read in one iteration: the leader lost its entries 3 to 5 of term 1 to another
+    // leader in term 2, and leads again in term 3.
+    f.step(append(1, 1, 1, {entry(1, 2), entry(1, 3), entry(1, 4), entry(1, 5)}));
+    f.step(append(3, 2, 1, {entry(3, 3)}));
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.replies.size() == 1);
+    CHECK(f.replies.front().matched);
+    CHECK(f.replies.front().term == 3);
+    CHECK(f.replies.front().match == 3);
+}
