--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -400,15 +400,8 @@
     reply.matched = true;
     reply.match = std::max(m.snap.index, commit_);
     if (m.snap.index > commit_) {
-        snap_ = m.snap;
-        entries_.clear();
-        base_index_ = snap_->index;
-        base_term_ = snap_->term;
-        commit_ = snap_->index;
-        restore_pending_ = true;
-        configurations_.resize(1);
-        adopt_configuration(snap_->index, snap_->configuration);
-        if (store_.save_snapshot(*snap_, hard_state_, {})) {
+        replace_log_prefix(m.snap);
+        if (store_.save_snapshot(*snap_, hard_state_, entries_)) {
             // The snapshot is not durable, so it is not acknowledged; the next sync reports the
             // error.
             return;
@@ -417,6 +410,31 @@
     pending_replies_[from] = reply;
 }
 
+template <log_store Store>
+void replica<Store>::replace_log_prefix(const store::snapshot& snap)
+{
+    // Entries after the snapshot may have been acknowledged, so they are kept if the log matches.
+    const bool matches = snap.index <= last_index() && term_at(snap.index) == snap.term;
+    if (matches) {
+        entries_.erase(entries_.begin(),
+                       entries_.begin() + static_cast<std::ptrdiff_t>(snap.index - base_index_));
+    } else {
+        entries_.clear();
+    }
+    snap_ = snap;
+    base_index_ = snap.index;
+    base_term_ = snap.term;
+    commit_ = snap.index;
+    restore_pending_ = true;
+    configurations_.resize(1);
+    adopt_configuration(snap.index, snap.configuration);
+    for (const store::log_entry& entry : entries_) {
+        if (entry.kind == store::entry_kind::configuration) {
+            adopt_configuration(entry.index, entry.bytes);
+        }
+    }
+}
+
 template <log_store Store>
 void replica<Store>::become_follower(term_number term, mono_time now)
 {
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -184,6 +184,8 @@
     status sync_if_due(mono_time now, const outputs& out);
     void mark_all_synced();
     void truncate_from(log_index index);
+    /** Installs a snapshot beyond the commit index. */
+    void replace_log_prefix(const store::snapshot& snap);
     void advance_commit();
     void apply_committed(const outputs& out);
     void send_appends(mono_time now, const outputs& out);
--- a/tests/unit/replica_messages_test.cpp
+++ b/tests/unit/replica_messages_test.cpp
@@ -75,3 +75,29 @@
     CHECK(f.replies.front().term == 3);
     CHECK(f.replies.front().match == 3);
 }
+
+TEST_CASE("a snapshot does not remove the acknowledged entries that follow it")
+{
+    follower<> f;
+    f.step(append(1, 1, 1, {entry(1, 2), entry(1, 3), entry(1, 4)}, 1));
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.replies.back().match == 4);
+    f.step(install_snapshot{2, {3, 1, encoded_voters(), "state"}, 0});
+    REQUIRE_FALSE(f.flush());
+    CHECK(f.log.last_index() == 4);
+    REQUIRE(f.disk->synced.snap);
+    CHECK(f.disk->synced.snap->index == 3);
+    REQUIRE(f.disk->synced.entries.size() == 1);
+    CHECK(f.disk->synced.entries.front().bytes == "c4.1");
+}
+
+TEST_CASE("a snapshot removes following entries if the log differs at its index")
+{
+    follower<> f;
+    f.step(append(1, 1, 1, {entry(1, 2), entry(1, 3), entry(1, 4)}, 1));
+    REQUIRE_FALSE(f.flush());
+    f.step(install_snapshot{3, {3, 2, encoded_voters(), "state"}, 0});
+    REQUIRE_FALSE(f.flush());
+    CHECK(f.log.last_index() == 3);
+    CHECK(f.disk->synced.entries.empty());
+}
