Replica: nothing is acknowledged after the store has failed

What callers could see: an accepted job gone, or a scheduler that does not start again because its log has a gap.

Change: the store's first error is kept; flush() returns it from then on and emits nothing, so the instance stops as for any other error of its disk.

Evidence: the test with the code before: flush() reports no error and a reply is sent ("CHECK( f.replies.empty() ) is NOT correct!"); it passes with the change.

--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -172,8 +172,8 @@
         if (out.push) {
             out.push();
         }
-        if (auto fault = store_.sync()) {
-            return fault;
+        if ((fault_ = store_.sync())) {
+            return fault_;
         }
     }
     mark_all_synced();
@@ -190,6 +190,9 @@
 template <log_store Store>
 status replica<Store>::flush(mono_time now, const outputs& out)
 {
+    if (fault_) {
+        return fault_;
+    }
     if (role_ == role::leader) {
         // Sends before the local sync, so that followers and this replica write in parallel.
         send_appends(now, out);
@@ -226,8 +229,8 @@
     const auto first_retained =
         entries_.begin() + static_cast<std::ptrdiff_t>(applied_ - base_index_);
     const std::vector<store::log_entry> remaining{first_retained, entries_.end()};
-    if (auto fault = store_.save_snapshot(created, hard_state_, remaining)) {
-        return fault;
+    if ((fault_ = store_.save_snapshot(created, hard_state_, remaining))) {
+        return fault_;
     }
     mark_all_synced();
     snap_ = std::move(created);
@@ -401,11 +404,7 @@
     reply.match = std::max(m.snap.index, commit_);
     if (m.snap.index > commit_) {
         replace_log_prefix(m.snap);
-        if (store_.save_snapshot(*snap_, hard_state_, entries_)) {
-            // The snapshot is not durable, so it is not acknowledged; the next sync reports the
-            // error.
-            return;
-        }
+        fault_ = store_.save_snapshot(*snap_, hard_state_, entries_);
     }
     pending_replies_[from] = reply;
 }
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -128,7 +128,10 @@
      * configuration has no voters.
      */
     bool propose_configuration(const configuration& next);
-    /** Syncs pending writes, then emits messages, committed entries and snapshots. */
+    /**
+     * Syncs pending writes, then emits messages, committed entries and snapshots. Emits nothing
+     * after the store has failed, and returns that error from then on.
+     */
     status flush(mono_time now, const outputs& out);
     /** Replaces the log up to the last applied entry by a snapshot of the state. */
     status compact(std::string state);
@@ -224,6 +227,8 @@
     log_index commit_{0};
     log_index applied_{0};
     log_index synced_{0};
+    /** The store's first error: what it holds on disk is unknown from then on. */
+    status fault_;
     /** Time of the oldest write that is not synced yet. */
     std::optional<mono_time> unsynced_since_;
     log_index term_start_index_{0};
--- a/tests/unit/replica_messages_test.cpp
+++ b/tests/unit/replica_messages_test.cpp
@@ -33,6 +33,22 @@
     return out;
 }
 
+/** A follower with a disk that may refuse a snapshot. */
+class refusing_store : public fakes::fake_store<> {
+public:
+    using fakes::fake_store<>::fake_store;
+    status save_snapshot(const store::snapshot& snap, const store::hard_state& hard,
+                         const std::vector<store::log_entry>& after)
+    {
+        if (refuses_snapshots) {
+            return error{error_kind::internal, "the disk is full"};
+        }
+        return fakes::fake_store<>::save_snapshot(snap, hard, after);
+    }
+    // Static, because the replica owns its store.
+    inline static bool refuses_snapshots = false;
+};
+
 template <class Store = fakes::fake_store<>>
 struct follower {
     std::shared_ptr<fakes::fake_disk> disk = std::make_shared<fakes::fake_disk>();
@@ -101,3 +117,17 @@
     CHECK(f.log.last_index() == 3);
     CHECK(f.disk->synced.entries.empty());
 }
+
+TEST_CASE("a replica whose disk refused a snapshot acknowledges nothing after it")
+{
+    follower<refusing_store> f;
+    REQUIRE_FALSE(f.flush());
+    f.replies.clear();
+    refusing_store::refuses_snapshots = true;
+    f.step(install_snapshot{1, {10, 1, encoded_voters(), "state"}, 0});
+    refusing_store::refuses_snapshots = false;
+    f.step(append(1, 10, 1, {entry(1, 11)}, 10));
+    CHECK(f.flush());
+    CHECK(f.flush());
+    CHECK(f.replies.empty());
+}
