--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -172,8 +172,8 @@
         if (out.push) {
             out.push();
         }
-        if (auto fault = store_.sync()) {
-            return fault;
+        if ((fault_ = store_.sync())) {
+            return fault_;
         }
     }
     mark_all_synced();
@@ -190,6 +190,9 @@
 template <log_store Store>
 status replica<Store>::flush(mono_time now, const outputs& out)
 {
+    if (fault_) {
+        return fault_;
+    }
     if (role_ == role::leader) {
         // Sends before the local sync, so that followers and this replica write in parallel.
         send_appends(now, out);
@@ -226,8 +229,8 @@
     const auto first_retained =
         entries_.begin() + static_cast<std::ptrdiff_t>(applied_ - base_index_);
     const std::vector<store::log_entry> remaining{first_retained, entries_.end()};
-    if (auto fault = store_.save_snapshot(created, hard_state_, remaining)) {
-        return fault;
+    if ((fault_ = store_.save_snapshot(created, hard_state_, remaining))) {
+        return fault_;
     }
     mark_all_synced();
     snap_ = std::move(created);
@@ -400,21 +403,35 @@
     reply.matched = true;
     reply.match = std::max(m.snap.index, commit_);
     if (m.snap.index > commit_) {
-        snap_ = m.snap;
+        replace_log_prefix(m.snap);
+        fault_ = store_.save_snapshot(*snap_, hard_state_, entries_);
+    }
+    pending_replies_[from] = reply;
+}
+
+template <log_store Store>
+void replica<Store>::replace_log_prefix(const store::snapshot& snap)
+{
+    // Entries after the snapshot may have been acknowledged, so they are kept if the log matches.
+    const bool matches = snap.index <= last_index() && term_at(snap.index) == snap.term;
+    if (matches) {
+        entries_.erase(entries_.begin(),
+                       entries_.begin() + static_cast<std::ptrdiff_t>(snap.index - base_index_));
+    } else {
         entries_.clear();
-        base_index_ = snap_->index;
-        base_term_ = snap_->term;
-        commit_ = snap_->index;
-        restore_pending_ = true;
-        configurations_.resize(1);
-        adopt_configuration(snap_->index, snap_->configuration);
-        if (store_.save_snapshot(*snap_, hard_state_, {})) {
-            // The snapshot is not durable, so it is not acknowledged; the next sync reports the
-            // error.
-            return;
+    }
+    snap_ = snap;
+    base_index_ = snap.index;
+    base_term_ = snap.term;
+    commit_ = snap.index;
+    restore_pending_ = true;
+    configurations_.resize(1);
+    adopt_configuration(snap.index, snap.configuration);
+    for (const store::log_entry& entry : entries_) {
+        if (entry.kind == store::entry_kind::configuration) {
+            adopt_configuration(entry.index, entry.bytes);
         }
     }
-    pending_replies_[from] = reply;
 }
 
 template <log_store Store>
@@ -425,6 +442,8 @@
         hard_state_.voted_for = instance_id{};
         store_.save_hard_state(hard_state_);
         leader_ = instance_id{};
+        // Their matches were confirmed to a leader of an earlier term, whose entries may be gone.
+        pending_replies_.clear();
     }
     if (role_ == role::leader) {
         lease_until_ = std::max(lease_until_, quorum_contact() + timing_.lease);
