Caller API: a job id belongs to the account that used it first

Callers saw, or could have seen: a job answered with 200 that never ran and was then answered with 410, since another account had used its id; an account's job shown as canceled because a call without a key had cancelled it through an open queue; a job accepted by an open queue answered with 410 once the queue required keys. Cause: submit acknowledged every id that the table held, whatever its account; through an open queue every caller had access to every job; a job accepted without an account matched no account. Evidence: caller_api_test.cpp on the code before: "200 == 409" for the second account's job, also when both arrive before the first is committed; "200 == 410" and state "canceled" for the call without a key; "410 == 200" for the queue that was closed. Change: an id in use is acknowledged only to callers with access to its job, others get 409, checked again once the proposal is applied. Access has the job's account, and in the job's queue every caller if the queue needs no key, or needed none for that job. Measured: the cases pass; the one for repeated submissions (another key of the account, another queue, a withdrawn key) passed before too.

--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -15,6 +15,7 @@
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int method_not_allowed = 405;
+constexpr int conflict = 409;
 constexpr int gone = 410;
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
@@ -98,7 +99,7 @@
         return;
     }
     if (context_.state().jobs.contains(*id)) {
-        reply({0, ok_status, "{}", 0});
+        reply(acknowledge(account, queue, *id));
         return;
     }
     auto spec = context_.server_protocol.parse_job(in.body);
@@ -117,19 +118,29 @@
                                 {"version", context_.state().doc.version}});
     context_.log.propose(
         std::move(cmd), proposal_timeout,
-        [this, received_at, job_id_text, reply](const result<jobs::outcome>& outcome) {
+        [this, received_at, id = *id, queue, account, reply](const result<jobs::outcome>& outcome) {
             if (!ok(outcome)) {
                 log::warning("job_in_doubt",
-                             {{"job", job_id_text}, {"why", error_of(outcome).detail}});
+                             {{"job", id.text()}, {"why", error_of(outcome).detail}});
                 reply(error_reply(gateway_timeout, "outcome_unknown",
                                   "the job may have been accepted"));
                 return;
             }
             context_.counters.observe(latency_kind::job_accept, context_.now() - received_at);
-            reply({0, ok_status, "{}", 0});
+            reply(acknowledge(account, queue, id));
         });
 }
 
+wire::forwarded_reply caller_api::acknowledge(const team_id& account, const jobs::queue& queue,
+                                              const jobs::job_id& id) const
+{
+    if (find_job(account, queue, id) == nullptr) {
+        log::info("job_refused", {{"job", id.text()}, {"why", "another account uses the id"}});
+        return error_reply(conflict, "conflict", "another account uses this job id");
+    }
+    return {0, ok_status, "{}", 0};
+}
+
 const jobs::job* caller_api::find_job(const team_id& account, const jobs::queue& queue,
                                       const jobs::job_id& id) const
 {
@@ -137,8 +148,10 @@
     if (found == context_.state().jobs.end()) {
         return nullptr;
     }
-    const bool allowed = queue.open || found->second.account == account;
-    return allowed ? &found->second : nullptr;
+    const jobs::job& job = found->second;
+    // The queue needs no key, or needed none when it accepted the job.
+    const bool keyless = job.queue == queue.id && (queue.open || job.account.empty());
+    return keyless || job.account == account ? &job : nullptr;
 }
 
 void caller_api::get_state(const team_id& account, const jobs::queue& queue,
--- a/src/fleet/caller_api.h
+++ b/src/fleet/caller_api.h
@@ -27,11 +27,16 @@
 private:
     void submit(const wire::forwarded_call& in, const jobs::queue& queue, const team_id& account,
                 const std::string& job_id_text, const reply_function& reply);
+    /** @return the reply to the submission of a job whose id is in use: that it was accepted,
+     * unless the job is not the caller's. */
+    wire::forwarded_reply acknowledge(const team_id& account, const jobs::queue& queue,
+                                      const jobs::job_id& id) const;
     void get_state(const team_id& account, const jobs::queue& queue, const std::string& job_id_text,
                    const reply_function& reply) const;
     void cancel(const team_id& account, const jobs::queue& queue, const std::string& job_id_text,
                 const reply_function& reply);
     std::size_t count_pending(const jobs::queue_id& queue) const;
+    /** @return the job, or nullptr if it does not exist or is not the caller's. */
     const jobs::job* find_job(const team_id& account, const jobs::queue& queue,
                               const jobs::job_id& id) const;
 
--- /dev/null
+++ b/tests/unit/caller_api_test.cpp
@@ -0,0 +1,187 @@
+#include "fleet/caller_api.h"
+#include "platform.h"
+
+#include <doctest/doctest.h>
+
+using namespace fescue;
+using namespace fescue::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int ok_status = 200;
+constexpr int not_found = 404;
+constexpr int conflict = 409;
+constexpr int gone = 410;
+
+const std::string job_text = "0123456789abcdef";
+const std::string shop_key = "shop-key";
+const std::string bank_key = "bank-key";
+
+jobs::queue make_queue(const std::string& id, const std::string& path_prefix, bool open)
+{
+    jobs::queue out;
+    out.id = jobs::queue_id{id};
+    out.host = "shop.example";
+    out.path_prefix = path_prefix;
+    out.open = open;
+    out.terms.pool = pool_id{"pool"};
+    return out;
+}
+
+jobs::document make_document(std::uint64_t version, const std::vector<jobs::queue>& queues)
+{
+    jobs::document out;
+    out.version = version;
+    out.pools.emplace(pool_id{"pool"}, jobs::job_pool{});
+    for (const jobs::queue& q : queues) {
+        out.queues.emplace(q.id, q);
+    }
+    out.accounts.emplace(team_id{"shop"}, jobs::account{{shop_key, "shop-key-2"}, 1, {}});
+    out.accounts.emplace(team_id{"bank"}, jobs::account{{bank_key}, 1, {}});
+    return out;
+}
+
+/** A leader with a single-instance log that handles callers' requests. */
+class leader_of_one {
+public:
+    leader_of_one()
+    {
+        log.replica().form(7, loop.now());
+        run_until([&] { return log.replica().settled(); });
+        put({make_queue("orders", "/orders/", false), make_queue("more", "/more/", false),
+             make_queue("open", "/open/", true)});
+    }
+
+    void put(const std::vector<jobs::queue>& queues)
+    {
+        const std::uint64_t version = log.state().doc.version + 1;
+        log.propose_here(jobs::put_document{make_document(version, queues)});
+        run_until([&] { return log.state().doc.version == version; });
+    }
+
+    void begin_call(const std::string& method, const std::string& path, const std::string& key,
+                    const reply_function& reply)
+    {
+        wire::forwarded_call in;
+        in.method = method;
+        in.host = "shop.example";
+        in.path = path;
+        in.key = key;
+        in.body = R"({"spec":"x","steps":[{"count":1,"cpu":1000}]})";
+        callers.handle_call(in, reply);
+    }
+
+    /** @return the reply to a call. */
+    wire::forwarded_reply call(const std::string& method, const std::string& path,
+                               const std::string& key = "")
+    {
+        std::optional<wire::forwarded_reply> reply;
+        begin_call(method, path, key,
+                   [&](wire::forwarded_reply&& r) { reply.emplace(std::move(r)); });
+        run_until([&] { return reply.has_value(); });
+        REQUIRE(reply);
+        return *reply;
+    }
+
+    int status_of(const std::string& method, const std::string& path, const std::string& key = "")
+    {
+        return call(method, path, key).status;
+    }
+
+    void run_until(const std::function<bool()>& condition)
+    {
+        const mono_time end = loop.now() + 3s;
+        while (!condition() && loop.now() < end) {
+            const auto stop = loop.after(5ms, [this] { loop.stop(); });
+            loop.run();
+        }
+        REQUIRE(condition());
+    }
+
+    event_loop loop;
+    settings::job_service_settings settings;
+    protocol wire{platform::make_protocol()};
+    http::client client{loop};
+    relay orders{loop, client, wire,
+                 [](const instance_id&, const wire::message&) { return false; }};
+    metrics counters;
+    job_log log{loop,
+                instance_id{"127.0.0.1"},
+                1,
+                replication::any_store{store::memory_store{}},
+                {},
+                {[](const instance_id&, const wire::message&) { return false; },
+                 [](const jobs::command&, const jobs::outcome&) {}, [] {}, [](const error&) {}}};
+    core_context context{loop, settings, wire, client, orders, log, counters};
+    caller_api callers{context};
+};
+
+} // namespace
+
+TEST_CASE("caller api: a job whose id another account uses is not acknowledged")
+{
+    leader_of_one leader;
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("POST", "/orders/" + job_text, bank_key) == conflict);
+    CHECK(leader.status_of("POST", "/open/" + job_text) == conflict);
+    CHECK(leader.status_of("GET", "/orders/" + job_text, bank_key) == gone);
+    CHECK(leader.status_of("GET", "/orders/" + job_text, shop_key) == ok_status);
+}
+
+TEST_CASE("caller api: of two accounts that submit the same id at once, one is acknowledged")
+{
+    leader_of_one leader;
+    std::vector<int> statuses;
+    for (const std::string& key : {shop_key, bank_key}) {
+        leader.begin_call("POST", "/orders/" + job_text, key,
+                          [&](wire::forwarded_reply&& r) { statuses.push_back(r.status); });
+    }
+    leader.run_until([&] { return statuses.size() == 2; });
+    CHECK(statuses == std::vector{ok_status, conflict});
+}
+
+TEST_CASE("caller api: a job that arrives again from its account is acknowledged again")
+{
+    leader_of_one leader;
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("POST", "/orders/" + job_text, "shop-key-2") == ok_status);
+    CHECK(leader.status_of("POST", "/more/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("GET", "/more/" + job_text, "shop-key-2") == ok_status);
+    CHECK(leader.status_of("POST", "/open/1123456789abcdef") == ok_status);
+    CHECK(leader.status_of("POST", "/open/1123456789abcdef", "withdrawn-key") == ok_status);
+    // An open queue accepts calls with a key as well; the key may be withdrawn later.
+    CHECK(leader.status_of("POST", "/open/2123456789abcdef", shop_key) == ok_status);
+    CHECK(leader.status_of("POST", "/open/2123456789abcdef") == ok_status);
+    CHECK(leader.status_of("GET", "/open/2123456789abcdef") == ok_status);
+    CHECK(leader.log.state().jobs.size() == 3);
+}
+
+TEST_CASE("caller api: a call without a key cannot cancel an account's job through an open queue")
+{
+    leader_of_one leader;
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("DELETE", "/open/" + job_text) == gone);
+    CHECK(leader.status_of("GET", "/open/" + job_text) == gone);
+    CHECK(leader.call("GET", "/orders/" + job_text, shop_key).body == R"({"state":"pending"})");
+    CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.call("GET", "/orders/" + job_text, shop_key).body == R"({"state":"canceled"})");
+}
+
+TEST_CASE("caller api: a job stays known when its queue closes, moves or is removed")
+{
+    leader_of_one leader;
+    const std::string open_job = "1123456789abcdef";
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("POST", "/open/" + open_job) == ok_status);
+
+    leader.put({make_queue("orders", "/moved/", false), make_queue("open", "/open/", false)});
+    CHECK(leader.status_of("GET", "/moved/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("GET", "/open/" + open_job, shop_key) == ok_status);
+    CHECK(leader.status_of("GET", "/orders/" + job_text, shop_key) == not_found);
+
+    leader.put({make_queue("renamed", "/orders/", false), make_queue("opened", "/open/", true)});
+    CHECK(leader.status_of("GET", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("GET", "/open/" + open_job) == ok_status);
+}
