Caller API: a path that names no job is answered 404, not 410

Callers could have seen: 410, as for a job that never existed, for an accepted job that still runs. It needs a document that removes a queue whose path prefix extends another queue's. Cause: the path of such a job is routed to the shorter prefix, and what remains of it is not a job id; GET and DELETE answered that as an unknown job. Evidence: "a job whose queue was removed is not reported as unknown by a shorter prefix" on the code before: "410 == 404" for GET and DELETE of the job and for GET of the removed queue. Change: a path that is not a queue's prefix followed by a job id is answered 404, as for any queue that does not exist. Measured: the case passes.

--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -48,6 +48,13 @@
     return out.empty() ? "plain" : out;
 }
 
+/** @return the reply for a path that is not a queue's path prefix followed by a job id: its queue
+ * may have been removed, which says nothing about the job. */
+wire::forwarded_reply no_job_in_path()
+{
+    return error_reply(not_found, "not_found", "no queue matches the path, or it names no job");
+}
+
 } // namespace
 
 void caller_api::handle_call(const wire::forwarded_call& in, const reply_function& reply)
@@ -158,7 +165,11 @@
                            const std::string& job_id_text, const reply_function& reply) const
 {
     const auto id = jobs::job_id::parse(job_id_text);
-    const jobs::job* job = id ? find_job(account, queue, *id) : nullptr;
+    if (!id) {
+        reply(no_job_in_path());
+        return;
+    }
+    const jobs::job* job = find_job(account, queue, *id);
     if (job == nullptr) {
         reply(error_reply(gone, "not_found", "no such job"));
         return;
@@ -170,7 +181,11 @@
                         const std::string& job_id_text, const reply_function& reply)
 {
     const auto id = jobs::job_id::parse(job_id_text);
-    if (!id || find_job(account, queue, *id) == nullptr) {
+    if (!id) {
+        reply(no_job_in_path());
+        return;
+    }
+    if (find_job(account, queue, *id) == nullptr) {
         reply(error_reply(gone, "not_found", "no such job"));
         return;
     }
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -185,3 +185,17 @@
     CHECK(leader.status_of("GET", "/orders/" + job_text, shop_key) == ok_status);
     CHECK(leader.status_of("GET", "/open/" + open_job) == ok_status);
 }
+
+TEST_CASE(
+    "caller api: a job whose queue was removed is not reported as unknown by a shorter prefix")
+{
+    leader_of_one leader;
+    leader.put(
+        {make_queue("orders", "/orders/", false), make_queue("nested", "/orders/nested/", false)});
+    CHECK(leader.status_of("POST", "/orders/nested/" + job_text, shop_key) == ok_status);
+    leader.put({make_queue("orders", "/orders/", false)});
+    CHECK(leader.status_of("GET", "/orders/nested/" + job_text, shop_key) == not_found);
+    CHECK(leader.status_of("DELETE", "/orders/nested/" + job_text, shop_key) == not_found);
+    CHECK(leader.status_of("GET", "/orders/nested/", shop_key) == not_found);
+    CHECK(leader.status_of("GET", "/orders/fedcba9876543210", shop_key) == gone);
+}
