Calls between instances: a restarted process numbers its calls anew, at random

Callers could have seen: 200 for a job that no leader had received. An entry whose predecessor had a call open at the leader took the late reply to that call for the reply to its own call of the same number. In the same way a restarted scheduler could have confirmed a document that was not stored, or applied a server's answer to an order for another server. Cause: every process numbered its calls from 1, and replies are sent to an instance whichever process of it is connected. Evidence: "entry: a reply to a call of an earlier process does not answer another call" on the code before: "200 == 404"; "relay: an answer to a call of an earlier process is not taken for another call's": the answer was delivered. Change: entries, schedulers, relays and the log's proposals start their numbers at a random value. The last two uses in schedulers (forwarded control calls, proposals) have no test of their own. Measured: both cases pass.

--- a/include/fescuestream/replication/replicated.h
+++ b/include/fescuestream/replication/replicated.h
@@ -9,6 +9,7 @@
 #include "fescuestream/base/loop.h"
 #include "fescuestream/consensus/replica.h"
 #include "fescuestream/store/store.h"
+#include "fescuestream/wire/frame.h"
 #include "fescuestream/wire/message.h"
 
 #include <concepts>
@@ -175,7 +176,7 @@
     state_type state_;
     log_replica replica_;
     std::map<std::uint64_t, proposal> proposals_;
-    std::uint64_t next_number_{1};
+    std::uint64_t next_number_{wire::random_first_number()};
     std::deque<applied_entry> recent_outcomes_;
     std::uint64_t applied_count_{0};
     std::size_t bytes_since_snapshot_{0};
--- a/include/fescuestream/wire/frame.h
+++ b/include/fescuestream/wire/frame.h
@@ -29,6 +29,9 @@
 frame_key derive_key(std::string_view secret, std::string_view context);
 /** @return cryptographically secure random bytes. */
 std::string random_bytes(std::size_t count);
+/** @return a random number from which a process numbers its requests, so that a late reply to an
+ * earlier process of the same instance matches none of them. */
+std::uint64_t random_first_number();
 /** Initializes libsodium; must be called once per process. */
 void start_crypto();
 
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -5,6 +5,7 @@
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/metrics.h"
 #include "fescuestream/base/shutdown_schedule.h"
+#include "fescuestream/wire/frame.h"
 
 #include <fmt/format.h>
 
@@ -66,7 +67,7 @@
         bool was_sent{false};
     };
     std::map<std::uint64_t, open_call> open_calls;
-    std::uint64_t next_call_number{1};
+    std::uint64_t next_call_number{wire::random_first_number()};
 
     impl(event_loop& l, const settings::job_service_settings& s, const protocol& w)
         : loop{l}, settings{s}, wire{w}
--- a/src/fleet/relay.h
+++ b/src/fleet/relay.h
@@ -12,6 +12,7 @@
 
 #include "fescuestream/base/loop.h"
 #include "fescuestream/http/client.h"
+#include "fescuestream/wire/frame.h"
 #include "fescuestream/wire/message.h"
 
 #include <functional>
@@ -65,7 +66,7 @@
     send_function send_;
     std::map<data_centre_id, std::vector<instance_id>> relay_peers_;
     std::map<std::uint64_t, pending_call> pending_calls_;
-    std::uint64_t next_number_{1};
+    std::uint64_t next_number_{wire::random_first_number()};
     bool enabled_{false};
 };
 
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -11,6 +11,7 @@
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/shutdown_schedule.h"
+#include "fescuestream/wire/frame.h"
 
 #include <fmt/format.h>
 
@@ -83,7 +84,7 @@
         mono_time since{};
     };
     std::map<std::uint64_t, forwarded_request> pending_forwards;
-    std::uint64_t next_number{1};
+    std::uint64_t next_number{wire::random_first_number()};
 
     impl(event_loop& l, const settings::job_service_settings& s, const protocol& w)
         : loop{l}, settings{s}, wire{w}, client{l, server_connections}
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -54,6 +54,14 @@
     return out;
 }
 
+std::uint64_t random_first_number()
+{
+    std::uint64_t out = 0;
+    randombytes_buf(&out, sizeof out);
+    // The upper half of the range is left for the numbers that follow.
+    return out >> 1U;
+}
+
 std::string frame_writer::write(std::string_view payload)
 {
     const tag t = compute_tag(key_, sequence_, payload);
--- /dev/null
+++ b/tests/unit/entry_test.cpp
@@ -0,0 +1,160 @@
+#include "fleet/entry_instance.h"
+#include "fleet/peer_links.h"
+#include "platform.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace fescue;
+using namespace fescue::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t peer_port = 28810;
+constexpr std::uint16_t caller_port = 28811;
+constexpr std::uint16_t readiness_port = 28812;
+constexpr int ok_status = 200;
+constexpr int not_found = 404;
+
+const std::string entry_address = "127.0.0.31";
+const std::string first_address = "127.0.0.32";
+const std::string second_address = "127.0.0.33";
+
+settings::job_service_settings make_settings(const std::string& address)
+{
+    settings::job_service_settings out;
+    out.id = instance_id{address};
+    out.name = address;
+    out.peers = {address, peer_port};
+    out.callers = {address, caller_port};
+    out.readiness = {address, readiness_port};
+    out.seeds = {first_address, second_address};
+    out.cluster_secret = "unit";
+    return out;
+}
+
+/** A scheduler that records the calls that entries forward to it; the test sends the replies. */
+class fake_scheduler {
+public:
+    fake_scheduler(event_loop& loop, const std::string& address)
+        : settings_{make_settings(address)},
+          links_{loop, settings_,
+                 link_events{[this](const wire::hello& /*who*/, wire::message&& m) {
+                                 if (const auto* call = std::get_if<wire::forwarded_call>(&m)) {
+                                     calls.push_back(*call);
+                                 }
+                             },
+                             [](const wire::hello& /*who*/) {}, [](const instance_id& /*id*/) {},
+                             [](wire::hello& /*out*/) {},
+                             [this](wire::ping& out) {
+                                 out.leader = instance_id{leader};
+                                 out.term = term;
+                             }}}
+    {
+        REQUIRE_FALSE(links_.start());
+        loop.on_iteration_end([this] { links_.flush(); });
+    }
+
+    void reply(std::uint64_t call_id, int status)
+    {
+        wire::forwarded_reply out;
+        out.call_id = call_id;
+        out.status = status;
+        links_.send(instance_id{entry_address}, out);
+    }
+    bool is_connected() const { return links_.is_connected(instance_id{entry_address}); }
+
+    /** Leader that its pings name; empty: none. */
+    std::string leader;
+    term_number term{1};
+    std::vector<wire::forwarded_call> calls;
+
+private:
+    settings::job_service_settings settings_;
+    peer_links links_;
+};
+
+/** An entry with the event loop of its process. */
+struct entry_process {
+    event_loop loop;
+    protocol wire{platform::make_protocol()};
+    settings::job_service_settings settings{make_settings(entry_address)};
+    entry_instance entry{loop, settings, wire};
+};
+
+/** An entry that can be restarted, and two fake schedulers. */
+class entry_fixture {
+public:
+    entry_fixture()
+    {
+        first.leader = first_address;
+        start_entry();
+    }
+
+    void start_entry()
+    {
+        process.reset();
+        run_until([&] { return !first.is_connected() && !second.is_connected(); });
+        process.emplace();
+        REQUIRE_FALSE(process->entry.start());
+        run_until([&] { return first.is_connected() && second.is_connected(); });
+    }
+
+    /** Sends a POST request through the entry. @return where its status is stored. */
+    std::shared_ptr<int> post()
+    {
+        auto status = std::make_shared<int>(0);
+        http::client_request request;
+        request.url = "http://" + entry_address + ":" + std::to_string(caller_port) + "/q/1";
+        request.body = "{}";
+        request.fresh_connection = true;
+        client.send(std::move(request), [status](http::client_response&& r) {
+            *status = r.outcome == http::delivery::answered ? r.status : -1;
+        });
+        return status;
+    }
+
+    void run_until(const std::function<bool()>& condition)
+    {
+        const mono_time end = loop.now() + 4s;
+        while (!condition() && loop.now() < end) {
+            run_briefly(loop);
+            if (process) {
+                run_briefly(process->loop);
+            }
+        }
+        REQUIRE(condition());
+    }
+
+    event_loop loop;
+    http::client client{loop};
+    fake_scheduler first{loop, first_address};
+    fake_scheduler second{loop, second_address};
+    std::optional<entry_process> process;
+
+private:
+    static void run_briefly(event_loop& running)
+    {
+        const auto stop = running.after(3ms, [&running] { running.stop(); });
+        running.run();
+    }
+};
+
+} // namespace
+
+TEST_CASE("entry: a reply to a call of an earlier process does not answer another call")
+{
+    entry_fixture f;
+    f.post();
+    f.run_until([&] { return f.first.calls.size() == 1; });
+    const auto earlier_call_id = f.first.calls[0].call_id;
+    f.start_entry();
+    const auto status = f.post();
+    f.run_until([&] { return f.first.calls.size() == 2; });
+    f.first.reply(earlier_call_id, ok_status);
+    f.first.reply(f.first.calls[1].call_id, not_found);
+    f.run_until([&] { return *status != 0; });
+    CHECK(*status == not_found);
+}
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -223,3 +223,20 @@
         CHECK(std::get<order_reply>(fixture.answers[0]).result == order_result::unknown);
     }
 }
+
+TEST_CASE("relay: an answer to a call of an earlier process is not taken for another call's")
+{
+    relay_fixture fixture;
+    fixture.leader.send(local_data_centre, target_server, make_start_order("earlier"),
+                        [](server_answer&& /*answer*/) {});
+    const std::uint64_t earlier = fixture.calls_in_flight.at(0).number;
+    relay restarted{fixture.loop, fixture.client, fixture.leader_protocol.functions,
+                    [](const instance_id&, const wire::message&) { return true; }};
+    restarted.set_relay_peers({{local_data_centre, {peer_id}}});
+    restarted.enable(true);
+    restarted.send(local_data_centre, target_server, make_start_order("later"),
+                   fixture.collect_answer);
+    const order_reply accepted{order_result::accepted, std::nullopt};
+    restarted.handle(wire::relayed_answer{earlier, to_bytes(server_answer{accepted})});
+    CHECK(fixture.answers.empty());
+}
