Entry: a later leader's refusal does not deny what an earlier leader accepted

Callers could have seen: 404, 401 or 503, which promise that a job never runs, for a job that runs. Cause: an entry sends an open call to a new leader as well, and passed on the first reply. If the earlier leader had accepted the job, and the document that the new leader has in force removes the queue or the key, the refusal won. Evidence: "entry: a later leader's refusal does not deny a call that an earlier leader received" on the code before: "404 == 504". Change: a refusal of a submission is passed on only if every instance that was sent it has replied; otherwise the caller gets 504. Measured: the case passes, and so does the one for a leader that replied that it had not processed the call.

--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds readiness_drain_time{2500};
 
 constexpr int ok_status = 200;
+constexpr int first_error_status = 400;
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
@@ -65,6 +66,8 @@
         instance_id sent_to;
         /** It was sent to a leader, which may have acted on it. */
         bool was_sent{false};
+        /** Number of times that it was sent without a reply. */
+        std::uint32_t unanswered_sends{0};
     };
     std::map<std::uint64_t, open_call> open_calls;
     std::uint64_t next_call_number{wire::random_first_number()};
@@ -156,6 +159,7 @@
         if (peers->send(leader, c.call)) {
             c.sent_to = leader;
             c.was_sent = true;
+            ++c.unanswered_sends;
         }
     }
 
@@ -181,12 +185,20 @@
         if (found == open_calls.end()) {
             return;
         }
+        open_call& c = found->second;
+        --c.unanswered_sends;
         if (reply.status == 0) {
             // The instance was not the leader and did not process the call.
-            found->second.sent_to = instance_id{};
+            c.sent_to = instance_id{};
             return;
         }
-        respond(found->second, reply.status, reply.body, reply.retry_after_ms);
+        // A refusal promises that the job never runs, but an earlier leader may have accepted it.
+        const bool refused = c.call.method == "POST" && reply.status >= first_error_status;
+        if (refused && c.unanswered_sends > 0) {
+            respond_with_error(c);
+        } else {
+            respond(c, reply.status, reply.body, reply.retry_after_ms);
+        }
         open_calls.erase(found);
     }
 
--- a/tests/unit/entry_test.cpp
+++ b/tests/unit/entry_test.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint16_t readiness_port = 28812;
 constexpr int ok_status = 200;
 constexpr int not_found = 404;
+constexpr int gateway_timeout = 504;
 
 const std::string entry_address = "127.0.0.31";
 const std::string first_address = "127.0.0.32";
@@ -44,6 +45,9 @@
                  link_events{[this](const wire::hello& /*who*/, wire::message&& m) {
                                  if (const auto* call = std::get_if<wire::forwarded_call>(&m)) {
                                      calls.push_back(*call);
+                                     if (!leads) {
+                                         reply(call->call_id, 0);
+                                     }
                                  }
                              },
                              [](const wire::hello& /*who*/) {}, [](const instance_id& /*id*/) {},
@@ -69,6 +73,8 @@
     /** Leader that its pings name; empty: none. */
     std::string leader;
     term_number term{1};
+    /** If not, it replies to each call that it did not process it. */
+    bool leads{true};
     std::vector<wire::forwarded_call> calls;
 
 private:
@@ -102,6 +108,14 @@
         run_until([&] { return first.is_connected() && second.is_connected(); });
     }
 
+    void change_leader(const std::string& leader)
+    {
+        for (fake_scheduler* scheduler : {&first, &second}) {
+            scheduler->leader = leader;
+            ++scheduler->term;
+        }
+    }
+
     /** Sends a POST request through the entry. @return where its status is stored. */
     std::shared_ptr<int> post()
     {
@@ -158,3 +172,28 @@
     f.run_until([&] { return *status != 0; });
     CHECK(*status == not_found);
 }
+
+TEST_CASE("entry: a later leader's refusal does not deny a call that an earlier leader received")
+{
+    entry_fixture f;
+    const auto status = f.post();
+    f.run_until([&] { return f.first.calls.size() == 1; });
+    f.change_leader(second_address);
+    f.run_until([&] { return f.second.calls.size() == 1; });
+    f.second.reply(f.second.calls[0].call_id, not_found);
+    f.run_until([&] { return *status != 0; });
+    CHECK(*status == gateway_timeout);
+}
+
+TEST_CASE("entry: the refusal of the only leader that processed a call is passed on")
+{
+    entry_fixture f;
+    f.first.leads = false;
+    const auto status = f.post();
+    f.run_until([&] { return f.first.calls.size() == 1; });
+    f.change_leader(second_address);
+    f.run_until([&] { return f.second.calls.size() == 1; });
+    f.second.reply(f.second.calls[0].call_id, not_found);
+    f.run_until([&] { return *status != 0; });
+    CHECK(*status == not_found);
+}
