Replication: a replica whose disk failed acknowledges nothing more

What could be lost: entries that a replica acknowledged although they are not on its disk.

After an entry that can't be decoded, the following ones were still applied. Change: the first failure halts the replica. It sends, stores, applies and votes no more, and open proposals end with no_leader, whose outcome is unknown.

--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -55,7 +55,7 @@
 template <log_store Store>
 bool replica<Store>::form(std::uint64_t cluster, mono_time now)
 {
-    if (formed()) {
+    if (formed() || halted_) {
         return false;
     }
     hard_state_.term = 1;
@@ -98,12 +98,18 @@
 template <log_store Store>
 void replica<Store>::step(const instance_id& from, const message& m, mono_time now)
 {
+    if (halted_) {
+        return;
+    }
     std::visit([&](const auto& body) { handle(from, body, now); }, m);
 }
 
 template <log_store Store>
 void replica<Store>::tick(mono_time now)
 {
+    if (halted_) {
+        return;
+    }
     if (role_ == role::leader) {
         const auto quorum_timeout = timing_.election * quorum_timeout_elections;
         if (now - quorum_contact() > quorum_timeout && now - leader_since_ > quorum_timeout) {
@@ -187,14 +193,40 @@
     unsynced_since_.reset();
 }
 
+template <log_store Store>
+void replica<Store>::halt()
+{
+    if (role_ == role::leader) {
+        lease_until_ = std::max(lease_until_, quorum_contact() + timing_.lease);
+    }
+    halted_ = true;
+    role_ = role::follower;
+    leader_ = instance_id{};
+    votes_.clear();
+    pending_replies_.clear();
+    messages_after_sync_.clear();
+}
+
+template <log_store Store>
+status replica<Store>::halt_on(status fault)
+{
+    if (fault) {
+        halt();
+    }
+    return fault;
+}
+
 template <log_store Store>
 status replica<Store>::flush(mono_time now, const outputs& out)
 {
+    if (halted_) {
+        return std::exchange(unreported_fault_, std::nullopt);
+    }
     if (role_ == role::leader) {
         // Sends before the local sync, so that followers and this replica write in parallel.
         send_appends(now, out);
     }
-    if (auto fault = sync_if_due(now, out)) {
+    if (auto fault = halt_on(sync_if_due(now, out))) {
         return fault;
     }
     if (role_ == role::leader) {
@@ -211,7 +243,7 @@
 template <log_store Store>
 status replica<Store>::compact(std::string state)
 {
-    if (applied_ == 0 || applied_ <= snapshot_index()) {
+    if (halted_ || applied_ == 0 || applied_ <= snapshot_index()) {
         return std::nullopt;
     }
     store::snapshot created;
@@ -226,7 +258,7 @@
     const auto first_retained =
         entries_.begin() + static_cast<std::ptrdiff_t>(applied_ - base_index_);
     const std::vector<store::log_entry> remaining{first_retained, entries_.end()};
-    if (auto fault = store_.save_snapshot(created, hard_state_, remaining)) {
+    if (auto fault = halt_on(store_.save_snapshot(created, hard_state_, remaining))) {
         return fault;
     }
     mark_all_synced();
@@ -408,13 +440,11 @@
         restore_pending_ = true;
         configurations_.resize(1);
         adopt_configuration(snap_->index, snap_->configuration);
-        if (store_.save_snapshot(*snap_, hard_state_, {})) {
-            // The snapshot is not durable, so it is not acknowledged; the next sync reports the
-            // error.
-            return;
-        }
+        unreported_fault_ = halt_on(store_.save_snapshot(*snap_, hard_state_, {}));
+    }
+    if (!halted_) {
+        pending_replies_[from] = reply;
     }
-    pending_replies_[from] = reply;
 }
 
 template <log_store Store>
@@ -621,7 +651,7 @@
         applied_ = snap_->index;
         out.restore(*snap_);
     }
-    while (applied_ < commit_) {
+    while (applied_ < commit_ && !halted_) {
         ++applied_;
         const store::log_entry entry = entry_at(applied_);
         if (entry.kind == store::entry_kind::command) {
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -128,12 +128,21 @@
      * configuration has no voters.
      */
     bool propose_configuration(const configuration& next);
-    /** Syncs pending writes, then emits messages, committed entries and snapshots. */
+    /**
+     * Syncs pending writes, then emits messages, committed entries and snapshots. @return the
+     * failure of the store, once; the replica has then halted.
+     */
     status flush(mono_time now, const outputs& out);
     /** Replaces the log up to the last applied entry by a snapshot of the state. */
     status compact(std::string state);
     /** Steps down before a planned stop, so that another replica can take over at once. */
     void resign(mono_time now);
+    /**
+     * Stops this replica for good: it sends, stores and applies nothing more. A store that has
+     * failed is never used again, because a later sync may succeed without the lost writes.
+     */
+    void halt();
+    bool halted() const noexcept { return halted_; }
 
     bool is_leader() const noexcept { return role_ == role::leader; }
     /** @return the known leader; empty after two election intervals without contact. */
@@ -169,6 +178,7 @@
     void handle(const instance_id& from, const vote_reply& m, mono_time now);
     void handle(const instance_id& from, const install_snapshot& m, mono_time now);
 
+    status halt_on(status fault);
     void become_follower(term_number term, mono_time now);
     void start_election(bool pre_vote, mono_time now);
     void become_leader(mono_time now);
@@ -232,6 +242,9 @@
     std::map<instance_id, progress> peers_;
     std::map<instance_id, append_reply> pending_replies_;
     std::vector<std::pair<instance_id, message>> messages_after_sync_;
+    bool halted_{false};
+    /** Failure outside flush(), which the next flush() returns. */
+    status unreported_fault_;
 };
 
 } // namespace fescue::consensus
--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -53,7 +53,7 @@
     proposal p;
     p.bytes = M::encode(cmd);
     p.on_complete = std::move(on_complete);
-    p.deadline = loop_.now() + timeout;
+    p.deadline = replica_.halted() ? loop_.now() : loop_.now() + timeout;
     auto& stored = proposals_.emplace(number, std::move(p)).first->second;
     submit(number, stored, loop_.now());
 }
@@ -116,7 +116,7 @@
         [this](const store::snapshot& snap) {
             auto decoded = M::decode_state(snap.state);
             if (!ok(decoded)) {
-                events_.failed(error_of(decoded));
+                fail(error_of(decoded));
                 return;
             }
             state_ = std::move(value(decoded));
@@ -126,16 +126,27 @@
         events_.push,
     };
     if (const auto fault = replica_.flush(loop_.now(), out)) {
-        events_.failed(*fault);
+        fail(*fault);
     }
 }
 
+template <state_machine M>
+void replicated<M>::fail(const error& e)
+{
+    replica_.halt();
+    for (auto& [number, p] : proposals_) {
+        // Completed by the next tick, because the callbacks may propose.
+        p.deadline = mono_time{};
+    }
+    events_.failed(e);
+}
+
 template <state_machine M>
 void replicated<M>::apply_entry(const store::log_entry& entry)
 {
     const auto cmd = M::decode(entry.bytes);
     if (!ok(cmd)) {
-        events_.failed(error_of(cmd));
+        fail(error_of(cmd));
         return;
     }
     const auto outcome = M::apply(state_, entry.index, value(cmd));
@@ -231,7 +242,7 @@
     }
     bytes_since_snapshot_ = 0;
     if (const auto fault = replica_.compact(M::encode_state(state_))) {
-        events_.failed(*fault);
+        fail(*fault);
     }
 }
 
--- a/include/fescuestream/replication/replicated.h
+++ b/include/fescuestream/replication/replicated.h
@@ -162,6 +162,8 @@
     bool needs_retry(const proposal& p, mono_time now) const;
     void tick();
     void flush();
+    /** Stops the replica and fails the open proposals, whose outcome is unknown. */
+    void fail(const error& e);
     void submit(std::uint64_t number, proposal& p, mono_time now);
     void complete_if_applied(std::uint64_t number, log_index index, term_number term);
     void complete(std::uint64_t number, const result<outcome_type>& outcome);
--- a/tests/fakes/replica_group.h
+++ b/tests/fakes/replica_group.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <utility>
 
 namespace fescue::fakes {
 
@@ -20,6 +21,8 @@
 struct fake_disk {
     store::recovered synced;
     incarnation id{0};
+    /** The next write fails and is lost; later ones report success. */
+    bool fails_next_write{false};
 };
 
 /**
@@ -41,6 +44,11 @@
     void save_hard_state(const store::hard_state& hard) { modify().hard = hard; }
     status sync()
     {
+        if (std::exchange(disk_->fails_next_write, false)) {
+            unsynced_ = disk_->synced;
+            dirty_ = false;
+            return error{error_kind::internal, "the disk failed"};
+        }
         if (!IgnoreSync) {
             disk_->synced = unsynced_;
         }
@@ -51,6 +59,9 @@
     status save_snapshot(const store::snapshot& snap, const store::hard_state& hard,
                          const std::vector<store::log_entry>& after)
     {
+        if (std::exchange(disk_->fails_next_write, false)) {
+            return error{error_kind::internal, "the disk failed"};
+        }
         unsynced_ = {hard, snap, after, 0};
         return sync();
     }
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -335,3 +335,63 @@
     group.run(100);
     CHECK(group.at(id(2)).applied.back() == "after");
 }
+
+TEST_CASE("a replica whose sync failed acknowledges nothing more, even if later syncs succeed")
+{
+    replica_group<> group{3, 31};
+    group.form();
+    const instance_id leader = leader_of(group);
+    const instance_id failing = leader == id(0) ? id(1) : id(0);
+    const instance_id third = leader == id(2) ? id(1) : id(2);
+    group.at(failing).disk->fails_next_write = true;
+    group.leader()->propose("lost by one");
+    group.run(20);
+    CHECK(group.at(failing).log->halted());
+    group.crash(third);
+    group.leader()->propose("needs the failed disk");
+    group.run(20);
+    CHECK_FALSE(contains(group.at(leader).applied, "needs the failed disk"));
+    CHECK_FALSE(is_synced(*group.at(failing).disk, "needs the failed disk"));
+}
+
+TEST_CASE("a replica that could not store a snapshot does not acknowledge it")
+{
+    replica_group<> group{3, 13};
+    group.form();
+    group.crash(id(2));
+    for (int i = 0; i < 5000; ++i) {
+        group.leader()->propose("x");
+        if (i % 100 == 0) {
+            group.run(1);
+        }
+    }
+    group.run(20);
+    const instance_id leader = leader_of(group);
+    REQUIRE_FALSE(group.leader()->compact("the state"));
+    group.at(id(2)).disk->fails_next_write = true;
+    group.start(id(2));
+    group.run(20);
+    CHECK(group.at(id(2)).log->halted());
+    group.crash(leader == id(0) ? id(1) : id(0));
+    group.leader()->propose("needs the snapshot");
+    group.run(20);
+    CHECK_FALSE(contains(group.at(leader).applied, "needs the snapshot"));
+}
+
+TEST_CASE("a leader whose disk fails steps down and votes for nobody")
+{
+    replica_group<> group{3, 32};
+    group.form();
+    const instance_id leader = leader_of(group);
+    group.at(leader).disk->fails_next_write = true;
+    group.leader()->propose("unsynced here");
+    group.run(1);
+    auto& failed = *group.at(leader).log;
+    CHECK_FALSE(failed.is_leader());
+    CHECK(failed.leader().empty());
+    CHECK_FALSE(failed.propose("after the failure"));
+    const term_number term = failed.term();
+    group.run(election_steps);
+    CHECK(failed.term() == term);
+    CHECK(leader_of(group) != leader);
+}
