Scheduler: a scheduler whose disk fails answers the requests that it holds

Operators saw: an order at a leader whose disk failed ended without an answer. Cause: the scheduler stopped its loop in the iteration in which the sync failed, and cut what was open. Evidence: test_order_at_a_leader_whose_disk_fails_is_answered_but_not_acknowledged on the code before: 'RemoteDisconnected' != 503. Calls of entries and other schedulers go back to their senders, which forward them to the next leader. Measured: test_job_shutdown.py passes. test_calls_at_an_entry_survive_a_failure_of_the_leaders_disk passes before and after; it guards the return to the sender.

--- a/include/fescuestream/base/shutdown_schedule.h
+++ b/include/fescuestream/base/shutdown_schedule.h
@@ -18,6 +18,15 @@
         grace_ = grace;
         has_begun_ = true;
     }
+    /** Makes the answers due at once, after a failure; keeps an earlier time of exit. */
+    void hasten(mono_time now) noexcept
+    {
+        if (!has_begun_) {
+            begin(now, final_answer_margin);
+        } else if (!is_answer_due(now)) {
+            grace_ = std::chrono::duration_cast<milliseconds>(elapsed(now)) + final_answer_margin;
+        }
+    }
     bool has_begun() const noexcept { return has_begun_; }
     mono_time::duration elapsed(mono_time now) const noexcept { return now - began_at_; }
     /** @return whether every open request must now be answered, with an error if need be. */
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -182,7 +182,8 @@
     {
         log::failure("disk_failed", {{"why", e.detail}});
         exit_code = 1;
-        loop.stop();
+        shutdown.hasten(loop.now());
+        runs->on_leadership_lost();
     }
 
     void log_restored()
@@ -356,6 +357,10 @@
     void handle(const instance_id& from, const wire::forwarded_call& m)
     {
         const auto reply = [this, from, number = m.call_id](wire::forwarded_reply&& r) {
+            if (log->replica().halted()) {
+                // The call may have taken effect; its sender forwards it to the next leader.
+                r = {};
+            }
             r.call_id = number;
             peers->send(from, r);
         };
--- a/tests/e2e/test_job_shutdown.py
+++ b/tests/e2e/test_job_shutdown.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import pathlib
+import resource
 import shutil
 import signal
 import subprocess
@@ -18,6 +19,15 @@
 ENTRY = "127.0.0.24"
 PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT = 7510, 7511, 7512, 7513
 GRACE_SECONDS = 6
+CONFIG = {"version": 1,
+          "routes": [{"name": "r", "host": "jobs.example", "path_prefix": "/queue/", "kind": "job", "timeout_ms": 9000,
+                      "target_latency_ms": 600, "priority": 0, "service": "s", "max_attempts": 3, "slack_factor": 2.0,
+                      "public": True}],
+          "services": [{"name": "s", "enforce_capacity": True, "standby": False}],
+          "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+                     "idle_timeout_ms": 15000},
+          "tenants": [{"name": "t", "api_keys": ["k"], "priority": 1, "weight": 1,
+                       "cap": {"cpu": 1000, "mem_mb": 1000, "gpu": 0}}]}
 
 
 def request(address, port, method, path, headers=None, body=None, timeout=15):
@@ -71,7 +81,9 @@
         file = self.folder / f"{address}.json"
         file.write_text(json.dumps(settings))
         with open(self.folder / f"{address}.log", "ab") as log:
-            self.processes[address] = subprocess.Popen([BUILD / "fescued", "--config", file], stdout=log, stderr=log)
+            # Python ignores SIGXFSZ; children that inherit that see a write beyond a limit fail.
+            self.processes[address] = subprocess.Popen([BUILD / "fescued", "--config", file], stdout=log, stderr=log,
+                                                       restore_signals=False)
 
     def stop_all(self):
         for p in self.processes.values():
@@ -85,6 +97,11 @@
             if address != but:
                 self.processes[address].send_signal(number)
 
+    def break_disk(self, address):
+        """Every further write to the data folder fails."""
+        size = (self.folder / address / "log").stat().st_size
+        resource.prlimit(self.processes[address].pid, resource.RLIMIT_FSIZE, (size, size))
+
     def leader(self):
         """The scheduler whose metrics or log show that it leads."""
         for address in SCHEDULERS:
@@ -119,6 +136,22 @@
         self.assertEqual(call.result(), 503)
         self.assertEqual(self.processes[follower].wait(GRACE_SECONDS), 0)
 
+    def test_order_at_a_leader_whose_disk_fails_is_answered_but_not_acknowledged(self):
+        leader = wait_for("a leader", self.leader)
+        self.break_disk(leader)
+        call = Call(leader, CONTROL_PORT, "PUT", "/config", body=json.dumps(CONFIG))
+        self.assertEqual(call.result(), 503)
+        self.assertEqual(self.processes[leader].wait(GRACE_SECONDS), 1)
+
+    def test_calls_at_an_entry_survive_a_failure_of_the_leaders_disk(self):
+        leader = wait_for("a leader", self.leader)
+        wait_for("the config", lambda: request(leader, CONTROL_PORT, "PUT", "/config", body=json.dumps(CONFIG)) == 200)
+        self.break_disk(leader)
+        job = json.dumps({"spec": "s", "steps": [{"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}]})
+        self.assertEqual(request(ENTRY, CALLER_PORT, "POST", "/queue/00000000000000a1",
+                                 {"Host": "jobs.example", "Deadline-Ms": "9000"}, job), 200)
+        self.assertEqual(self.processes[leader].wait(GRACE_SECONDS), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
