Instance: a stopping instance writes every answer before it exits

Callers and operators saw: connections that ended without a byte, or in the middle of a response, while an instance was stopped. Cause: the instance stopped its loop as soon as no request was open, though responses were not yet written; at 30 s it stopped with requests open; 250 ms after it had given up leadership it stopped with control requests open, which it still accepted until then. Evidence: test_node_shutdown.py on the code before: test_last_response_is_written_before_the_exit: the last of 8 requests got none; test_response_to_a_slow_reader_is_written_before_the_exit: 2807803 bytes of more than 7340032; test_requests_open_at_the_end_of_the_shutdown_are_answered: no answer; test_orders_that_wait_to_be_in_force_at_a_stopping_leader_are_answered: 22 orders 'RemoteDisconnected'. Change: once nothing is held and leadership is handed over, both servers stop accepting, and the process exits when they are drained. 700 ms before the limit of 30 s open requests get outcome_unknown if they may have run, draining if not; control requests get no_leader. Measured: the four tests pass.

--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -430,6 +430,20 @@
     respond(id, error_response(kind, detail, may_have_run));
 }
 
+void ingress::refuse_all()
+{
+    std::vector<request_id> open;
+    for (const auto& [id, p] : pending_) {
+        open.push_back(id);
+    }
+    for (const request_id& id : open) {
+        const pending& p = pending_.at(id);
+        const bool may_have_run = p.may_have_run || p.may_have_run_earlier;
+        refuse(id, may_have_run ? error_kind::outcome_unknown : error_kind::draining,
+               "the instance stopped before the request ended");
+    }
+}
+
 void ingress::sweep()
 {
     const mono_time now = shared_.now();
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -36,6 +36,8 @@
     void home_unresponsive(const instance_id& home);
     /** Routes parked requests again after the reported loads changed. */
     void route_parked();
+    /** Refuses every open request before the instance stops. */
+    void refuse_all();
     std::size_t open_requests() const noexcept { return pending_.size(); }
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,7 @@
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/shutdown_schedule.h"
 #include "fescuestream/wire/frame.h"
 #include "fescuestream/wire/transport.h"
 
@@ -93,8 +94,8 @@
     std::string last_report_bytes;
     mono_time last_full_report{};
     mono_time cut_off_since{};
-    mono_time shutdown_began{};
-    bool resigned{false};
+    shutdown_schedule shutdown;
+    std::optional<mono_time> resigned_at;
     int exit_code{0};
 
     impl(event_loop& l, settings::instance_settings s)
@@ -532,8 +533,10 @@
                                                                           : R"({"ready":false})"));
             return;
         }
+        const mono_time now = loop.now();
         const bool reject_new_requests =
-            shared->draining && loop.now() - shutdown_began > readiness_grace_period;
+            shutdown.is_answer_due(now) ||
+            (shutdown.has_begun() && shutdown.elapsed(now) > readiness_grace_period);
         if (reject_new_requests) {
             counters.refused(error_kind::draining);
             caller_server->respond(id, error_response(error_kind::draining, ""));
@@ -544,12 +547,12 @@
 
     void shut_down()
     {
-        if (shared->draining) {
+        if (shutdown.has_begun()) {
             return;
         }
         log::info("shutting_down");
         shared->draining = true;
-        shutdown_began = loop.now();
+        shutdown.begin(loop.now(), max_shutdown_duration);
     }
 
     bool holds_allotments() const
@@ -576,29 +579,47 @@
         return false;
     }
 
-    void continue_shutdown(mono_time now)
+    bool holds_work() const
     {
-        const auto since = now - shutdown_began;
-        if (since < readiness_grace_period) {
-            return;
-        }
-        const bool single_instance = settings.peers.empty();
-        dispatcher->release_unused_allotments();
         const bool busy = caller_ingress->open_requests() > 0 || dispatcher->open_jobs() > 0;
-        const bool holds_resources =
-            !single_instance && (holds_allotments() || is_home_of_any_shard());
-        if ((busy || holds_resources) && since < max_shutdown_duration) {
-            return;
+        const bool single_instance = settings.peers.empty();
+        return busy || (!single_instance && (holds_allotments() || is_home_of_any_shard()));
+    }
+
+    /** @return whether the leadership, if it was this instance's, is handed over. */
+    bool hand_over_leadership(mono_time now)
+    {
+        if (settings.peers.empty()) {
+            return true;
         }
-        if (!single_instance && !resigned && control->replica().is_leader() &&
-            since < max_shutdown_duration) {
-            resigned = true;
+        if (control->replica().is_leader()) {
+            resigned_at = now;
             control->replica().resign(now);
-            timers.push_back(loop.after(heartbeat_period, [this] { loop.stop(); }));
+        }
+        return !resigned_at || now - *resigned_at >= heartbeat_period;
+    }
+
+    void continue_shutdown(mono_time now)
+    {
+        if (shutdown.is_answer_due(now)) {
+            caller_ingress->refuse_all();
+            control_server->respond_to_all(error_response(error_kind::no_leader, "", true));
+        } else if (shutdown.elapsed(now) < readiness_grace_period) {
             return;
+        } else {
+            dispatcher->release_unused_allotments();
+            if (holds_work() || !hand_over_leadership(now)) {
+                return;
+            }
         }
-        if (!resigned) {
-            log::info("stopped", {{"open_requests", caller_ingress->open_requests()}});
+        caller_server->stop_accepting();
+        control_server->stop_accepting();
+        const bool drained = caller_server->is_drained() && control_server->is_drained();
+        if (drained || shutdown.is_exit_due(now)) {
+            const auto unfinished =
+                caller_server->unfinished_exchanges() + control_server->unfinished_exchanges();
+            log::info("stopped", {{"open_requests", caller_ingress->open_requests()},
+                                  {"unfinished", unfinished}});
             loop.stop();
         }
     }
