Instance: an instance whose disk fails answers its open requests

Callers and operators saw: when the disk of an instance failed, the order that it was writing and all running requests ended without an answer. Cause: the instance stopped its loop in the iteration in which the sync failed. Evidence: test_requests_at_an_instance_whose_disk_fails_are_answered on the code before: no answer where no_leader, unknown, was due. Change: a failure begins a shutdown in which all answers are due at once, as at the end of a planned one; the exit status is 1. A leader whose disk failed does not answer calls that other instances forwarded to it: they send them to the next leader. Measured: the test passes.

--- a/src/node/control_api.cpp
+++ b/src/node/control_api.cpp
@@ -259,13 +259,17 @@
 {
     const auto number = call.call_id;
     const auto respond = [this, from, number](http::response&& r) {
+        if (shared_.control.replica().halted()) {
+            return;
+        }
         shared_.send(from, wire::control_reply{number, r.status, r.content_type, r.body});
     };
     const bool is_read = has_prefix(call.path, "/v1/explain/request/");
     if (is_read || shared_.control.replica().settled()) {
         handle(call, respond);
     }
-    // A former leader does not reply: the sending instance resends the call to the new leader.
+    // A former leader, or one whose disk failed, does not reply: the sending instance resends the
+    // call to the new leader.
 }
 
 void control_api::received(const wire::control_reply& reply)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -395,7 +395,8 @@
     {
         log::failure("stopping", {{"why", e.detail}});
         exit_code = 1;
-        loop.stop();
+        shared->draining = true;
+        shutdown.hasten(loop.now());
     }
 
     void handle_announcement(const wire::announcement& info)
--- a/tests/e2e/test_node_shutdown.py
+++ b/tests/e2e/test_node_shutdown.py
@@ -3,6 +3,7 @@
 
 import http.client
 import json
+import resource
 import signal
 import socket
 import subprocess
@@ -42,9 +43,10 @@
         self.fleet = Fleet(25000, list(layout), disks)
         self.addCleanup(self.fleet.stop)
         for i in range(1, len(layout) + 1):
+            # Python ignores SIGXFSZ; children that inherit that see a write beyond a limit fail.
             self.fleet.instances[i] = subprocess.Popen(
                 [BUILD / "fescued", "--config", self.fleet.folder / f"entry-{i}.json"], stdout=subprocess.DEVNULL,
-                stderr=subprocess.DEVNULL)
+                stderr=subprocess.DEVNULL, restore_signals=False)
         if len(layout) > 1:
             self.fleet.form_cluster()
         wait_for("ready", lambda: self.fleet.ready_count() == len(layout))
@@ -140,6 +142,18 @@
         finally:
             connection.close()
 
+    def test_requests_at_an_instance_whose_disk_fails_are_answered(self):
+        self.start_fleet()
+        self.start_server()
+        running = self.request("running", path="ms-5000")
+        time.sleep(0.3)
+        size = (self.fleet.folder / "data-1/log").stat().st_size
+        resource.prlimit(self.fleet.instances[1].pid, resource.RLIMIT_FSIZE, (size, size))
+        status, body = self.fleet.send_order("POST", "/v1/keys", {"team": "north"})
+        self.assertEqual((status, body.get("error"), body.get("ran")), (503, "no_leader", "unknown"))
+        self.assertEqual(running.refusal(), (504, "outcome_unknown", "unknown"))
+        self.assertEqual(self.exit_status(2), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
