fescued: signals during the start are handled when the loop runs

What was seen: SIGHUP ended an instance of the product at any time, with every request open at it; SIGHUP or SIGTERM during the start ended any instance, also of the job service. Cause: handlers were installed after the start, and instances of the product had none for SIGHUP. Change: handlers are installed before the start; instances of the product ignore SIGHUP, since their settings are read once.

--- a/apps/fescued.cpp
+++ b/apps/fescued.cpp
@@ -36,7 +36,8 @@
   --version       print the version and exit
   --help          print this help and exit
 
-Signals: SIGTERM and SIGINT start a graceful shutdown that completes requests in flight.
+Signals: SIGTERM and SIGINT start a graceful shutdown that completes requests in flight. SIGHUP reloads the seeds of an
+instance of the job service; other instances ignore it.
 
 examples:
   fescued --config examples/one/entry-1.json
@@ -106,13 +107,14 @@
 int run_job_service(fescue::event_loop& loop, Instance& instance, const std::string& name,
                     const std::string& file)
 {
+    // A signal that arrives during the start is handled once the loop runs.
+    loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
+    loop.on_signal(SIGINT, [&] { instance.shut_down(); });
+    loop.on_signal(SIGHUP, [&] { reload(instance, file); });
     if (const auto fault = instance.start()) {
         fescue::log::failure("cannot_start", {{"instance", name}, {"why", fault->detail}});
         return 1;
     }
-    loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
-    loop.on_signal(SIGINT, [&] { instance.shut_down(); });
-    loop.on_signal(SIGHUP, [&] { reload(instance, file); });
     loop.on_iteration_end([] { fescue::log::flush(); });
     fescue::log::batch(true);
     loop.run();
@@ -148,12 +150,14 @@
     fescue::event_loop loop;
     const std::string id = settings.id.str();
     fescue::node::instance instance{loop, std::move(settings)};
+    // A signal that arrives during the start is handled once the loop runs.
+    loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
+    loop.on_signal(SIGINT, [&] { instance.shut_down(); });
+    loop.on_signal(SIGHUP, [] { fescue::log::info("reload_ignored"); });
     if (const auto fault = instance.start()) {
         fescue::log::failure("cannot_start", {{"instance", id}, {"why", fault->detail}});
         return 1;
     }
-    loop.on_signal(SIGTERM, [&] { instance.shut_down(); });
-    loop.on_signal(SIGINT, [&] { instance.shut_down(); });
     fescue::log::info("started", {{"instance", id}, {"version", version}});
     loop.run();
     return instance.exit_status();
--- a/tests/e2e/test_job_shutdown.py
+++ b/tests/e2e/test_job_shutdown.py
@@ -3,6 +3,7 @@
 
 import http.client
 import json
+import os
 import pathlib
 import resource
 import shutil
@@ -69,7 +70,7 @@
             self.start(address)
         wait_for("the entry to be ready", lambda: request(ENTRY, READY_PORT, "GET", "/readyz") == 200)
 
-    def start(self, address):
+    def start(self, address, **changes):
         settings = {"role": "entry" if address == ENTRY else "scheduler", "id": address, "data_centre": "north",
                     "listen": {"peers": f"{address}:{PEER_PORT}"}, "seeds": SCHEDULERS, "first_start": True,
                     "cluster_secret": "e2e", "bounds": {"grace_s": GRACE_SECONDS}}
@@ -78,6 +79,7 @@
         else:
             settings["listen"]["control"] = f"{address}:{CONTROL_PORT}"
             settings["data_folder"] = str(self.folder / address)
+        settings |= changes
         file = self.folder / f"{address}.json"
         file.write_text(json.dumps(settings))
         with open(self.folder / f"{address}.log", "ab") as log:
@@ -152,6 +154,39 @@
                                  {"Host": "jobs.example", "Deadline-Ms": "9000"}, job), 200)
         self.assertEqual(self.processes[leader].wait(GRACE_SECONDS), 1)
 
+    def test_signals_before_the_loop_runs_are_handled_when_it_runs(self):
+        address = SCHEDULERS[0]
+        for number, expected in ((signal.SIGHUP, None), (signal.SIGTERM, 0)):
+            self.processes[address].kill()
+            self.processes[address].wait()
+            folder = self.folder / f"data-{number}"
+            folder.mkdir()
+            os.mkfifo(folder / "identity")
+            self.start(address, data_folder=str(folder))
+            # The start waits for the identity from here on.
+            wait_for("the lock on the data folder", (folder / "lock").exists)
+            time.sleep(0.1)
+            self.processes[address].send_signal(number)
+            time.sleep(0.1)
+            # Fails if the process has ended.
+            identity = os.open(folder / "identity", os.O_WRONLY | os.O_NONBLOCK)
+            os.write(identity, bytes(range(1, 9)))
+            os.close(identity)
+            if expected is None:
+                wait_for("an answer", lambda: request(address, CONTROL_PORT, "GET", "/metrics") == 200)
+            else:
+                self.assertEqual(self.processes[address].wait(GRACE_SECONDS), expected)
+
+    def test_second_stop_signal_and_reload_do_not_shorten_the_shutdown(self):
+        self.signal_schedulers(signal.SIGSTOP)
+        call = Call(ENTRY, CALLER_PORT, "GET", "/queue/00000000000000a1", {"Deadline-Ms": "4000"})
+        time.sleep(0.3)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.processes[ENTRY].send_signal(number)
+            time.sleep(0.1)
+        self.assertEqual(call.result(), 504)
+        self.assertEqual(self.processes[ENTRY].wait(GRACE_SECONDS), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/e2e/test_node_shutdown.py
+++ b/tests/e2e/test_node_shutdown.py
@@ -154,6 +154,15 @@
         self.assertEqual(running.refusal(), (504, "outcome_unknown", "unknown"))
         self.assertEqual(self.exit_status(2), 1)
 
+    def test_hangup_cuts_no_request(self):
+        self.start_fleet()
+        self.start_server()
+        running = self.request("running", path="ms-500")
+        time.sleep(0.2)
+        self.signal(signal.SIGHUP)
+        self.assertEqual(running.status(), 200)
+        self.assertEqual(call(self.fleet.caller_port(1), "GET", "/readyz")[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
