Start: the callers' port opens last

What could be seen: callers that connected to an instance which then failed to start had their connections reset. Cause: the callers' port was opened first, so any other port that was occupied ended the process with callers connected. Evidence: test_entry_that_fails_to_start_never_listens_for_callers and test_instance_that_fails_to_start_never_listens_for_callers on the code before: the error names the callers' port, so it was tried first. Change: entries and instances of the product open it after all other ports. Measured: both tests pass.

--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -93,16 +93,17 @@
                 handle_call(id, std::move(in));
             });
         caller_server->capture_headers(wire.caller_headers);
-        if (auto fault = caller_server->listen(settings.callers, {})) {
-            return fault;
-        }
         readiness_server =
             std::make_unique<http::server>(loop, [this](http::exchange_id id, http::request&& in) {
                 handle_readiness_request(id, in);
             });
         loop.on_iteration_end([this] { peers->flush(); });
         ticker = loop.every(housekeeping_period, [this] { housekeep(); });
-        return readiness_server->listen(settings.readiness, {});
+        // The callers' port last, so that no caller connects to an instance that fails to start.
+        if (auto fault = readiness_server->listen(settings.readiness, {})) {
+            return fault;
+        }
+        return caller_server->listen(settings.callers, {});
     }
 
     bool ready() const
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -177,13 +177,14 @@
             peers.insert(p.id);
         }
         control->replica().set_peers(peers);
-        if (auto err = caller_server->listen(settings.listen.callers, settings.tls)) {
+        // The callers' port last, so that no caller connects to an instance that fails to start.
+        if (auto err = transport->start([this] { return hello(); })) {
             return err;
         }
         if (auto err = control_server->listen(settings.listen.control, settings.tls)) {
             return err;
         }
-        if (auto err = transport->start([this] { return hello(); })) {
+        if (auto err = caller_server->listen(settings.listen.callers, settings.tls)) {
             return err;
         }
         if (settings.peers.empty() && !control->replica().formed()) {
--- a/tests/e2e/test_job_shutdown.py
+++ b/tests/e2e/test_job_shutdown.py
@@ -8,6 +8,7 @@
 import resource
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -177,6 +178,16 @@
             else:
                 self.assertEqual(self.processes[address].wait(GRACE_SECONDS), expected)
 
+    def test_entry_that_fails_to_start_never_listens_for_callers(self):
+        self.processes[ENTRY].kill()
+        self.processes[ENTRY].wait()
+        for port in (CALLER_PORT, READY_PORT):
+            occupied = socket.create_server((ENTRY, port))
+            self.addCleanup(occupied.close)
+        self.start(ENTRY)
+        self.assertEqual(self.processes[ENTRY].wait(GRACE_SECONDS), 1)
+        self.assertIn(f"cannot listen on {ENTRY}:{READY_PORT}", (self.folder / f"{ENTRY}.log").read_text())
+
     def test_second_stop_signal_and_reload_do_not_shorten_the_shutdown(self):
         self.signal_schedulers(signal.SIGSTOP)
         call = Call(ENTRY, CALLER_PORT, "GET", "/queue/00000000000000a1", {"Deadline-Ms": "4000"})
--- a/tests/e2e/test_node_shutdown.py
+++ b/tests/e2e/test_node_shutdown.py
@@ -154,6 +154,16 @@
         self.assertEqual(running.refusal(), (504, "outcome_unknown", "unknown"))
         self.assertEqual(self.exit_status(2), 1)
 
+    def test_instance_that_fails_to_start_never_listens_for_callers(self):
+        fleet = Fleet(25000, ["dc-1"], (1,))
+        self.addCleanup(fleet.stop)
+        for port in (fleet.caller_port(1), fleet.control_port(1)):
+            occupied = socket.create_server(("127.0.0.1", port))
+            self.addCleanup(occupied.close)
+        fleet.start(1)
+        self.assertEqual(fleet.instances[1].wait(10), 1)
+        self.assertIn(f"cannot listen on 127.0.0.1:{fleet.control_port(1)}", (fleet.folder / "entry-1.log").read_text())
+
     def test_hangup_cuts_no_request(self):
         self.start_fleet()
         self.start_server()
