HTTP server: tests of draining

What is_drained() and stop_accepting() promise had end-to-end tests only. The cases fail with the mechanism taken out: is_drained() by open instead of unfinished exchanges: "a response that was just queued" and "it is not drained while a request is half received"; without closing connections in stop_accepting(): "a later request on an open connection is answered with Connection: close".

--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -1,4 +1,5 @@
 #include "fescuestream/http/client.h"
+#include "fescuestream/http/server.h"
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
@@ -104,6 +105,67 @@
     return server.requests - 1;
 }
 
+void run_for(event_loop& loop, milliseconds duration)
+{
+    const timer_handle end = loop.after(duration, [&] { loop.stop(); });
+    loop.run();
+}
+
+/** A connection whose requests the test writes byte by byte. */
+class raw_connection {
+public:
+    explicit raw_connection(const endpoint& to) : fd_{socket(AF_INET, SOCK_STREAM, 0)}
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
+        REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    }
+    raw_connection(const raw_connection&) = delete;
+    raw_connection& operator=(const raw_connection&) = delete;
+    ~raw_connection() { close(fd_); }
+
+    void write(std::string_view bytes) const
+    {
+        REQUIRE(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == std::ssize(bytes));
+    }
+    /** @return what has arrived since the last call. */
+    std::string read() const
+    {
+        std::array<char, 4096> buffer{};
+        const ssize_t size = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
+    }
+
+private:
+    int fd_;
+};
+
+/** A server that keeps the exchanges which it has received. */
+struct holding_server {
+    explicit holding_server(event_loop& loop)
+        : http{loop, [this](exchange_id id, http::request&&) { held.push_back(id); }}
+    {
+        REQUIRE_FALSE(http.listen(address, {}));
+    }
+    void respond_to_held()
+    {
+        for (const exchange_id id : held) {
+            http.respond(id, {200, "text/plain", "ok", {}});
+        }
+        held.clear();
+    }
+
+    static inline const endpoint address{"127.0.0.1", 19998};
+    std::vector<exchange_id> held;
+    server http;
+};
+
+constexpr std::string_view simple_request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+/** Longer than a draining server waits for further requests. */
+constexpr milliseconds quiet_time{200};
+
 } // namespace
 
 TEST_CASE("http client: libcurl resends on a reused connection, but not on a fresh one")
@@ -145,6 +207,66 @@
     CHECK(received_bytes == server::max_body_bytes);
 }
 
+TEST_CASE("http server: a response that was just queued is written before the server is drained")
+{
+    event_loop loop;
+    holding_server s{loop};
+    const raw_connection connection{holding_server::address};
+    connection.write(simple_request);
+    run_for(loop, quiet_time);
+    REQUIRE(s.held.size() == 1);
+    s.http.stop_accepting();
+    run_for(loop, quiet_time);
+    s.respond_to_held();
+    CHECK(s.http.open_exchanges() == 0);
+    CHECK_FALSE(s.http.is_drained());
+    run_for(loop, quiet_time);
+    CHECK(s.http.is_drained());
+    CHECK(connection.read().starts_with("HTTP/1.1 200 OK"));
+}
+
+TEST_CASE("http server: it is not drained while a request is half received")
+{
+    event_loop loop;
+    holding_server s{loop};
+    const raw_connection connection{holding_server::address};
+    connection.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+    run_for(loop, quiet_time);
+    s.http.stop_accepting();
+    run_for(loop, quiet_time);
+    CHECK_FALSE(s.http.is_drained());
+    connection.write("cd");
+    run_for(loop, quiet_time);
+    REQUIRE(s.held.size() == 1);
+    s.respond_to_held();
+    run_for(loop, quiet_time);
+    CHECK(s.http.is_drained());
+    CHECK(connection.read().starts_with("HTTP/1.1 200 OK"));
+}
+
+TEST_CASE("http server: a later request on an open connection is answered with Connection: close")
+{
+    event_loop loop;
+    holding_server s{loop};
+    const raw_connection connection{holding_server::address};
+    connection.write(simple_request);
+    run_for(loop, quiet_time);
+    s.respond_to_held();
+    run_for(loop, quiet_time);
+    const std::string first = connection.read();
+    CHECK(first.starts_with("HTTP/1.1 200 OK"));
+    CHECK(first.find("Connection: close") == std::string::npos);
+    s.http.stop_accepting();
+    connection.write(simple_request);
+    run_for(loop, quiet_time);
+    REQUIRE(s.held.size() == 1);
+    s.respond_to_held();
+    run_for(loop, quiet_time);
+    const std::string second = connection.read();
+    CHECK(second.starts_with("HTTP/1.1 200 OK"));
+    CHECK(second.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("parse_endpoint accepts only IP:PORT")
 {
     CHECK(ok(parse_endpoint("127.0.0.1:80")));
