--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -130,13 +130,19 @@
     bool propose_configuration(const configuration& next);
     /**
      * Syncs pending writes, then emits messages, committed entries and snapshots. Emits nothing
-     * after the store has failed, and returns that error from then on.
+     * once the replica has halted. @return the failure of the store that halted it, if any.
      */
     status flush(mono_time now, const outputs& out);
     /** Replaces the log up to the last applied entry by a snapshot of the state. */
     status compact(std::string state);
     /** Steps down before a planned stop, so that another replica can take over at once. */
     void resign(mono_time now);
+    /**
+     * Stops this replica for good: it sends, stores and applies nothing more. A store that has
+     * failed is never used again, because a later sync may succeed without the lost writes.
+     */
+    void halt();
+    bool halted() const noexcept { return halted_; }
 
     bool is_leader() const noexcept { return role_ == role::leader; }
     /** @return the known leader; empty after two election intervals without contact. */
@@ -172,6 +178,8 @@
     void handle(const instance_id& from, const vote_reply& m, mono_time now);
     void handle(const instance_id& from, const install_snapshot& m, mono_time now);
 
+    /** Halts this replica if the store has failed. @return its argument. */
+    status halt_on(status fault);
     void become_follower(term_number term, mono_time now);
     void start_election(bool pre_vote, mono_time now);
     void become_leader(mono_time now);
@@ -227,7 +235,7 @@
     log_index commit_{0};
     log_index applied_{0};
     log_index synced_{0};
-    /** The store's first error: what it holds on disk is unknown from then on. */
+    /** The failure of the store that halted this replica. */
     status fault_;
     /** Time of the oldest write that is not synced yet. */
     std::optional<mono_time> unsynced_since_;
@@ -239,6 +247,7 @@
     std::map<instance_id, progress> peers_;
     std::map<instance_id, append_reply> pending_replies_;
     std::vector<std::pair<instance_id, message>> messages_after_sync_;
+    bool halted_{false};
 };
 
 } // namespace fescue::consensus
