Scheduler: long-running tasks no longer wait while every server is drained

Callers saw a long-running task (or a whole job) without a run for seconds although servers of its pool had capacity. A wave may drain all servers of a pool at once; a drained server got no new runs, and its long-running tasks are stopped only while the other tasks of their step are at full work. If a task of one step waits, and the only servers left are drained ones that hold tasks of another such step, neither the wave nor the tasks go on until a machine happens to be moved in.

Change: a server is "draining" until its maintenance begins and cordoned only then. A long-running task that has waited for 2 s may start on a draining server if no other takes it. It stays there while other tasks keep the server from being emptied, and for at least 4 s. The log line long_running_task_waits (once a second, the longest wait) says what excludes the pool's servers.

--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -11,7 +11,8 @@
  * move to the next burst or be maintained; a trickle of tasks spread over all servers would prevent
  * that. During a maintenance wave, long-running tasks avoid servers that are still to be
  * maintained; otherwise they would have to move again, and the moves of a step run one after the
- * other.
+ * other. A server that is being drained takes a long-running task only if the task has waited for
+ * another one in vain: if all servers of a pool are being drained, its steps wait for each other.
  */
 
 #include "fescuestream/jobs/server_report.h"
@@ -38,6 +39,8 @@
     bool is_on_trial{false};
     /** The server's machine is due for maintenance. */
     bool maintenance_due{false};
+    /** The server is being drained and takes only tasks that find no other server. */
+    bool draining{false};
 };
 
 /** Placement inputs besides the step's own constraints. */
@@ -48,6 +51,8 @@
     rack_id step_rack;
     /** Server on which the task has just failed; other servers are preferred. */
     server_id avoid;
+    /** The task has waited so long that it may start on a server that is being drained. */
+    bool may_use_draining{false};
 };
 
 /** @return whether the server may run the step, regardless of free resources. */
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -22,16 +22,34 @@
 constexpr double milli_per_core = 1000.0;
 /** Consecutive jobs without a fitting server after which a round stops searching a pool. */
 constexpr std::size_t max_unplaced_jobs = 24;
+/** A long-running task that has waited this long may start on a server that is being drained. The
+ * platform tolerates a wait of 3 s. */
+constexpr milliseconds max_wait_for_drain{2000};
 /** A server whose last report is older than this (three report periods) gets no new runs. */
 constexpr milliseconds report_timeout{4500};
 /** A batch of starts not applied within this time is assumed lost in a change of leader. */
 constexpr milliseconds batch_timeout{3000};
 
-bool accepts_new_runs(const server_view& view, mono_time now)
+/** @return why the server gets no new runs; empty if it may get some. */
+std::string_view exclusion_reason(const server_view& view, mono_time now)
 {
-    return view.reachable() && now - view.last_report_at < report_timeout && !view.report.leaving &&
-           !view.cordoned && now >= view.refused_until && !view.report.address.empty() &&
-           view.clock.lower_bound(now) && (view.fenced || view.runs.empty());
+    if (view.has_shut_down || view.report.leaving) {
+        return "leaving";
+    }
+    if (view.misses > 0 || view.report.address.empty()) {
+        return "no_answer";
+    }
+    if (now - view.last_report_at >= report_timeout) {
+        return "no_report";
+    }
+    if (view.cordoned) {
+        return "cordoned";
+    }
+    if (now < view.refused_until) {
+        return "refused_a_start";
+    }
+    const bool polled = view.clock.lower_bound(now) && (view.fenced || view.runs.empty());
+    return polled ? std::string_view{} : "not_polled";
 }
 
 } // namespace
@@ -48,6 +66,8 @@
     std::map<team_id, jobs::resources> added_usage;
     jobs::start_runs batch;
     std::size_t max_starts{0};
+    /** All servers of each pool, for the log. */
+    std::map<pool_id, std::vector<server_availability>> availability;
 };
 
 dispatcher::dispatcher(core_context& shared, run_driver& driver) : context_{shared}, driver_{driver}
@@ -58,6 +78,7 @@
 {
     batch_in_flight_ = false;
     started_runs_.clear();
+    waiting_tasks_.clear();
     last_failed_server_.clear();
     round_due_ = true;
 }
@@ -157,7 +178,7 @@
         !round.batch.runs.empty() && round.batch.runs.size() >= round.max_starts ? 1 : 0;
     round_stats_.max_outstanding_orders =
         std::max(round_stats_.max_outstanding_orders, driver_.outstanding_orders());
-    log_round_stats();
+    log_round_stats(round);
     if (round.batch.runs.empty()) {
         return;
     }
@@ -184,12 +205,14 @@
     }
 }
 
-void dispatcher::log_round_stats()
+void dispatcher::log_round_stats(const scheduling_round& round)
 {
     if (last_round_ - stats_logged_ < stats_log_interval) {
         return;
     }
     stats_logged_ = last_round_;
+    waiting_tasks_.remove_obsolete(context_.state());
+    waiting_tasks_.log_longest(context_.state(), round.availability, round.now);
     log::info("scheduling_rounds", {{"rounds", round_stats_.rounds},
                                     {"starts", round_stats_.starts},
                                     {"bounded", round_stats_.bounded},
@@ -230,9 +253,15 @@
     loads_.clear();
     const auto& state = context_.state();
     for (const auto& [id, view] : driver_.servers()) {
-        if (!accepts_new_runs(view, round.now) ||
-            state.out_of_service.contains(view.report.data_centre) ||
-            health_.is_backed_off(id, round.now)) {
+        std::string_view reason = exclusion_reason(view, round.now);
+        if (reason.empty() && state.out_of_service.contains(view.report.data_centre)) {
+            reason = "out_of_service";
+        } else if (reason.empty() && health_.is_backed_off(id, round.now)) {
+            reason = "backed_off";
+        }
+        round.availability[view.report.pool].push_back(
+            {&view, reason.empty() && view.draining ? "draining" : reason});
+        if (!reason.empty()) {
             continue;
         }
         server_candidate c;
@@ -243,10 +272,13 @@
         c.consecutive_failures = health_.consecutive_failures(id);
         c.is_on_trial = health_.is_on_trial(id);
         c.maintenance_due = view.maintenance_due;
-        pool_load& load = loads_[view.report.pool];
-        load.capacity_cpu += view.report.capacity.cpu_milli;
-        load.free_cpu += c.free.cpu_milli;
-        ++load.servers;
+        c.draining = view.draining;
+        if (!view.draining) {
+            pool_load& load = loads_[view.report.pool];
+            load.capacity_cpu += view.report.capacity.cpu_milli;
+            load.free_cpu += c.free.cpu_milli;
+            ++load.servers;
+        }
         round.servers[view.report.pool].push_back(std::move(c));
     }
 }
@@ -275,6 +307,9 @@
                 if (waiting > 0 && j.may_start(o, i)) {
                     waits = true;
                     round.waiting_tasks[pool] += static_cast<std::size_t>(waiting);
+                    if (j.spec.steps[i].long_running) {
+                        record_waiting_tasks(id, number, static_cast<std::uint32_t>(i), st.tasks);
+                    }
                     load.startable_cpu += waiting * j.spec.steps[i].required_capacity().cpu_milli;
                 }
             }
@@ -287,6 +322,16 @@
     }
 }
 
+void dispatcher::record_waiting_tasks(const jobs::job_id& id, std::uint32_t occurrence,
+                                      std::uint32_t step, const std::vector<jobs::task>& tasks)
+{
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].phase == jobs::task_phase::waiting) {
+            waiting_tasks_.record_waiting({id, occurrence, step, i}, last_round_);
+        }
+    }
+}
+
 queued_job dispatcher::make_queued_job(const jobs::job_id& id, const jobs::job& j) const
 {
     queued_job s;
@@ -418,6 +463,7 @@
         const task_id task{id, occurrence, step, i};
         const auto failed = last_failed_server_.find(task);
         hints.avoid = failed == last_failed_server_.end() ? server_id{} : failed->second;
+        hints.may_use_draining = waiting_tasks_.waiting_time(task, round.now) >= max_wait_for_drain;
         const bool allowed = within_account_cap(round, j.account, spec.need);
         const auto chosen = allowed ? scheduler::choose(servers, spec, hints) : std::nullopt;
         if (!chosen) {
@@ -430,6 +476,7 @@
         }
         server_candidate& c = servers[*chosen];
         c.free -= spec.required_capacity();
+        waiting_tasks_.record_start(task);
         c.long_running_tasks += spec.long_running ? 1 : 0;
         c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
         round.added_usage[j.account] += spec.need;
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include "core_context.h"
 #include "run_driver.h"
+#include "waiting_tasks.h"
 
 #include "fescuestream/scheduler/arrival_rate.h"
 #include "fescuestream/scheduler/job_order.h"
@@ -56,10 +57,12 @@
 
     void run_round();
     void start_tasks_by_pool(scheduling_round& round);
-    void log_round_stats();
+    void log_round_stats(const scheduling_round& round);
     void start_occurrences();
     void gather_servers(scheduling_round& round);
     void gather_jobs(scheduling_round& round);
+    void record_waiting_tasks(const jobs::job_id& id, std::uint32_t occurrence, std::uint32_t step,
+                              const std::vector<jobs::task>& tasks);
     scheduler::queued_job make_queued_job(const jobs::job_id& id, const jobs::job& j) const;
     void start_tasks(scheduling_round& round, const pool_id& pool);
     void start_job(scheduling_round& round, const jobs::job_id& id,
@@ -98,6 +101,7 @@
         milliseconds max_commit_time{0};
     };
     round_stats round_stats_;
+    waiting_tasks waiting_tasks_;
     /** Rotates the pool that is served first when the starts of a round are shared out. */
     std::size_t first_pool_{0};
     bool round_due_{false};
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -82,8 +82,13 @@
     /** Number of machines in each pool in the first list that was read. */
     std::map<pool_id, std::size_t> initial_machines_;
     std::map<std::string, open_order> orders_;
-    /** Machines that are being drained for maintenance, and the servers on them. */
-    std::map<std::string, server_id> cordoned_;
+    /** A machine that is being drained or is in maintenance. */
+    struct cordoned_machine {
+        server_id server;
+        /** The maintenance is about to begin or has begun. */
+        bool begun{false};
+    };
+    std::map<std::string, cordoned_machine> cordoned_;
     /** Consecutive lists that missed each machine of an open wave. */
     std::map<std::string, std::size_t> missed_lists_;
     /** Term of the newest logged order for a machine, and the latest time at which it may have been
--- a/src/fleet/machine_maintenance.cpp
+++ b/src/fleet/machine_maintenance.cpp
@@ -4,6 +4,8 @@
 
 #include "fescuestream/base/log.h"
 
+#include <algorithm>
+
 namespace fescue::fleet {
 
 namespace {
@@ -16,6 +18,20 @@
 constexpr milliseconds drain_time{2500};
 /** Time from the end of a machine's maintenance until the list shows it as up. */
 constexpr milliseconds return_detection_time{1000};
+/** Minimum run time of a long-running task that had to start on a server that is being drained. */
+constexpr milliseconds min_time_on_draining_server{4000};
+
+/** @return whether a run that started while its server was being drained may be stopped: stopping
+ * it earlier than the runs that keep the server from being empty would only make its task wait. */
+bool may_move_again(const server_view& view, const run_view& run, mono_time now)
+{
+    return now - run.ordered_at >= min_time_on_draining_server &&
+           std::ranges::all_of(view.runs, [](const auto& entry) {
+               const run_view& other = entry.second;
+               return !other.long_running || other.started_while_draining ||
+                      !other.stop_reason.empty();
+           });
+}
 
 } // namespace
 
@@ -69,8 +85,8 @@
     const auto decision = scheduler::plan_maintenance(view);
     for (const std::size_t i : decision.cordon) {
         const machine_entry* entry = find_entry(view.machines[i].machine);
-        cordoned_[view.machines[i].machine] = entry->server;
-        driver_.cordon(entry->server, true);
+        cordoned_[view.machines[i].machine] = {entry->server, false};
+        driver_.drain(entry->server);
         log::info("machine_withheld", {{"machine", entry->id},
                                        {"server", entry->server.str()},
                                        {"wave", id},
@@ -82,6 +98,10 @@
         if (!may_order(machine)) {
             continue;
         }
+        if (const auto cordoned = cordoned_.find(machine); cordoned != cordoned_.end()) {
+            cordoned->second.begun = true;
+            driver_.cordon(cordoned->second.server, true);
+        }
         // Recorded in the job log before the order is sent, so that the log shows the next leader
         // that the machine may be down.
         context_.log.propose_here(jobs::step_maintenance{id, machine, false, false});
@@ -96,18 +116,24 @@
     if (entry != nullptr && !accepted) {
         // An earlier leader began the maintenance; its list of cordoned machines was only in
         // memory.
-        cordoned_.try_emplace(machine, entry->server);
+        cordoned_.try_emplace(machine, cordoned_machine{entry->server, true}).first->second.begun =
+            true;
     }
 }
 
 void machine_driver::drain_cordoned_servers(bool deadline_at_risk)
 {
-    for (auto& [machine, id] : cordoned_) {
+    for (auto& [machine, cordoned] : cordoned_) {
+        server_id& id = cordoned.server;
         if (const machine_entry* entry = find_entry(machine)) {
             id = entry->server;
         }
         // Repeated on each call, since a restarted server accepts new runs again.
-        driver_.cordon(id, true);
+        if (cordoned.begun) {
+            driver_.cordon(id, true);
+        } else {
+            driver_.drain(id);
+        }
         const auto server = driver_.servers().find(id);
         if (server == driver_.servers().end()) {
             continue;
@@ -124,6 +150,10 @@
                 }
                 continue;
             }
+            if (run.started_while_draining &&
+                !may_move_again(server->second, run, context_.now())) {
+                continue;
+            }
             std::uint32_t unavailable = 0;
             for (std::uint32_t i = 0; i < spec->tasks; ++i) {
                 const task_id other{task.job, task.occurrence, task.step, i};
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -35,6 +35,7 @@
         view.poll_in_flight = false;
         view.misses = 0;
         view.cordoned = false;
+        view.draining = false;
         view.next_poll = now;
         // Followers only receive reports that changed, so their last report time is out of date.
         view.last_report_at = now;
@@ -136,6 +137,7 @@
     view.misses = 0;
     view.has_shut_down = false;
     view.cordoned = false;
+    view.draining = false;
     view.refused_until = mono_time{};
     for (auto& [task, run] : view.runs) {
         const bool start_unanswered =
@@ -214,6 +216,7 @@
     run_view run;
     run.attempt = cmd.run.attempt;
     run.ordered_at = context_.now();
+    run.started_while_draining = view.draining;
     run_view& added = add_run(view, task, run);
     if (view.report.incarnation_id != cmd.incarnation_id || view.has_shut_down ||
         !context_.has_leader_lease()) {
@@ -381,6 +384,16 @@
     const auto found = servers_.find(id);
     if (found != servers_.end()) {
         found->second.cordoned = on;
+        found->second.draining = false;
+    }
+}
+
+void run_driver::drain(const server_id& id)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        found->second.cordoned = false;
+        found->second.draining = true;
     }
 }
 
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -60,6 +60,8 @@
     void throttle(const jobs::task_id& task, int percent);
     /** Sets whether the server is cordoned. A cordoned server gets no new runs. */
     void cordon(const server_id& id, bool on);
+    /** Marks the server as being drained for maintenance, instead of cordoned. */
+    void drain(const server_id& id);
     /** Marks the server's machine as due for maintenance: long-running tasks are placed on other
      * servers where possible. */
     void expect_maintenance(const server_id& id);
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -73,6 +73,8 @@
     int percent{0};
     std::int64_t load_metric{0};
     std::string checkpoint;
+    /** The server was being drained for maintenance when the run started: no other had capacity. */
+    bool started_while_draining{false};
     /** Since when every poll has shown the run at full work. */
     std::optional<mono_time> ready_since;
     /** Percentage of full speed in the last accepted throttle order. */
@@ -107,6 +109,9 @@
     mono_time refused_until{};
     /** Excluded from new runs because of maintenance or a move of its machine. */
     bool cordoned{false};
+    /** Being drained for maintenance that has not begun: gets only long-running tasks that have
+     * waited for another server in vain. */
+    bool draining{false};
     /** The server's machine is due for maintenance. */
     bool maintenance_due{false};
     /** Capacity that the runs take. */
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -40,7 +40,8 @@
     const std::int64_t packing_rank =
         step.long_running ? -colocated : -std::min<std::int64_t>(colocated, 1);
     const std::int64_t cpu_left = c.free.cpu_milli - step.need.cpu_milli;
-    return std::tuple{is_remote(c, step, hints),
+    return std::tuple{c.draining,
+                      is_remote(c, step, hints),
                       c.server->id == hints.avoid,
                       c.consecutive_failures,
                       disturbs_serving,
@@ -63,7 +64,8 @@
     const bool step_limit_reached =
         step.max_per_server > 0 && step_tasks_on(hints, c.server->id) >= step.max_per_server;
     const bool trial_in_progress = c.is_on_trial && c.free != c.server->capacity;
-    return label_matches && !step_limit_reached && !trial_in_progress;
+    const bool accepts_step = !c.draining || (step.long_running && hints.may_use_draining);
+    return label_matches && !step_limit_reached && !trial_in_progress && accepts_step;
 }
 
 std::optional<std::size_t> choose(std::span<const server_candidate> servers,
