Machines: a server accepts runs again after an order without effect

Callers could see long-running tasks wait although a server of their pool was empty: that server stayed cordoned for as long as the leader led. It happened in two cases: a move got no answer and was not carried out (the record of the order was dropped, the cordon was not), and the machine service excluded the machine from the wave, or its list missed the machine.

Evidence: the unit tests "machines: a server accepts runs again after a move without an answer" and "... if the machine service excludes it from the wave" failed without the change: the log showed servers=cordoned:1 to the end.

Change: the cordon is lifted together with the record of the order.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -276,7 +276,7 @@
                              entry != nullptr && entry->state != machine_state::moving;
         const bool unknown =
             is_move && !o.in_flight && !o.accepted && now - o.sent_at > order_retry_delay;
-        if (arrived) {
+        if ((arrived || unknown) && entry != nullptr) {
             driver_.cordon(entry->server, false);
         }
         at = arrived || unknown ? orders_.erase(at) : std::next(at);
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -61,6 +61,8 @@
     scheduler::maintenance_candidate make_candidate(const std::string& machine,
                                                     const jobs::maintenance_machine& m) const;
     void restore_cordoned(const std::string& machine);
+    /** Ends the maintenance of a machine that gets none; its server accepts new runs again. */
+    void release_cordoned(const std::string& machine);
     /** Stops long-running tasks on cordoned servers as far as their availability limits allow.
      * @param deadline_at_risk stops the other tasks as well. */
     void drain_cordoned_servers(bool deadline_at_risk);
--- a/src/fleet/machine_maintenance.cpp
+++ b/src/fleet/machine_maintenance.cpp
@@ -121,6 +121,15 @@
     }
 }
 
+void machine_driver::release_cordoned(const std::string& machine)
+{
+    const auto found = cordoned_.find(machine);
+    if (found != cordoned_.end()) {
+        driver_.cordon(found->second.server, false);
+        cordoned_.erase(found);
+    }
+}
+
 void machine_driver::drain_cordoned_servers(bool deadline_at_risk)
 {
     for (auto& [machine, cordoned] : cordoned_) {
@@ -205,7 +214,7 @@
     } else if (list_is_current && is_unlisted(machine)) {
         log::info("upkeep_machine_gone", {{"machine", machine}, {"wave", wave}});
         orders_.erase(known);
-        cordoned_.erase(machine);
+        release_cordoned(machine);
         context_.log.propose_here(jobs::step_maintenance{wave, machine, true, true});
     } else if (list_is_current) {
         list_refresh_needed_ = true;
@@ -253,7 +262,7 @@
         }
     } else if (r == machine_result::no_such_machine || r == machine_result::not_in_wave) {
         orders_.erase(machine);
-        cordoned_.erase(machine);
+        release_cordoned(machine);
         context_.log.propose_here(jobs::step_maintenance{wave, machine, true, true});
     } else if (r == machine_result::busy || r == machine_result::throttled) {
         o.sent_at = context_.now() - order_retry_delay + busy_retry_delay;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -287,3 +287,37 @@
     leader.run_for(3s);
     CHECK(leader.log.state().find({jobs::job_id{1}, 0, 0, 0})->attempt == 0);
 }
+
+TEST_CASE("machines: a server accepts runs again after a move without an answer")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 5};
+    fake_machine_service service{leader.loop, base_port + 6};
+    service.machines = {{"m-1", "i-1"}};
+    service.order_reply.status = 0;
+    leader.use_machine_service(base_port + 6);
+    leader.add_server("i-1", base_port + 5);
+    leader.submit(1, make_short_step(), other_pool);
+    REQUIRE(leader.run_until([&] { return !service.orders.empty(); }, 2s));
+    leader.log.propose_here(jobs::cancel_job{jobs::job_id{1}, wall_now()});
+    leader.submit(2, make_long_running_step(1));
+    leader.run_for(1s);
+    CHECK_FALSE(leader.is_running(2));
+    CHECK(leader.run_until([&] { return leader.is_running(2); }, 6s));
+}
+
+TEST_CASE("machines: a server accepts runs again if the machine service excludes it from the wave")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 7};
+    fake_machine_service service{leader.loop, base_port + 8};
+    service.machines = {{"m-1", "i-1"}};
+    service.order_reply.body = R"({"reason":"wave"})";
+    leader.use_machine_service(base_port + 8);
+    leader.add_server("i-1", base_port + 7);
+    leader.log.propose_here(jobs::start_maintenance{"1", {"m-1"}, 20'000, 1, wall_now()});
+    leader.run_for(50ms);
+    REQUIRE(leader.run_until([&] { return leader.log.state().waves.at("1").is_done(); }, 2s));
+    leader.submit(1, make_long_running_step(1));
+    CHECK(leader.run_until([&] { return leader.is_running(1); }, 1s));
+}
