Dispatcher: a server on trial with a long-running task gets trial tasks

A server with three failed runs in a row gets one trial task at a time, which counted as in progress while anything ran on the server. A long-running task does not end, so a server with one never got a trial and was lost to its pool, and tasks waited although it had capacity.

Evidence: the unit test "dispatcher: a server on trial with a long-running task gets trial tasks" failed without the change: after the failures no task started for 4 s, with the server reported as available.

Change: long-running tasks at full work do not count as a trial in progress.

--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -37,6 +37,9 @@
     std::uint32_t consecutive_failures{0};
     /** The server gets only one trial task at a time. */
     bool is_on_trial{false};
+    /** A trial task is on the server. Long-running tasks at full work are no trial: they do not
+     * end. */
+    bool has_trial_task{false};
     /** The server's machine is due for maintenance. */
     bool maintenance_due{false};
     /** The server is being drained and takes only tasks that find no other server. */
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -52,6 +52,13 @@
     return polled ? std::string_view{} : "not_polled";
 }
 
+bool has_trial_task(const server_view& view)
+{
+    return std::ranges::any_of(view.runs, [](const auto& entry) {
+        return !entry.second.long_running || !entry.second.ready_since;
+    });
+}
+
 } // namespace
 
 /** Working data of one scheduling round. */
@@ -271,6 +278,10 @@
         c.latency_limited = view.latency_limited_count > 0;
         c.consecutive_failures = health_.consecutive_failures(id);
         c.is_on_trial = health_.is_on_trial(id);
+        c.has_trial_task = c.is_on_trial && has_trial_task(view);
+        if (c.has_trial_task) {
+            round.availability[view.report.pool].back().exclusion = "on_trial";
+        }
         c.maintenance_due = view.maintenance_due;
         c.draining = view.draining;
         if (!view.draining) {
@@ -478,6 +489,7 @@
         c.free -= spec.required_capacity();
         waiting_tasks_.record_start(task);
         c.long_running_tasks += spec.long_running ? 1 : 0;
+        c.has_trial_task = true;
         c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
         round.added_usage[j.account] += spec.need;
         count_placement(c.server->id);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -63,7 +63,7 @@
         std::ranges::find(c.server->labels, step.label) != c.server->labels.end();
     const bool step_limit_reached =
         step.max_per_server > 0 && step_tasks_on(hints, c.server->id) >= step.max_per_server;
-    const bool trial_in_progress = c.is_on_trial && c.free != c.server->capacity;
+    const bool trial_in_progress = c.is_on_trial && c.has_trial_task;
     const bool accepts_step = !c.draining || (step.long_running && hints.may_use_draining);
     return label_matches && !step_limit_reached && !trial_in_progress && accepts_step;
 }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -288,6 +288,24 @@
     CHECK(leader.log.state().find({jobs::job_id{1}, 0, 0, 0})->attempt == 0);
 }
 
+TEST_CASE("dispatcher: a server on trial with a long-running task gets trial tasks")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 4};
+    leader.add_server("i-1", base_port + 4);
+    leader.submit(1, make_long_running_step(1));
+    REQUIRE(leader.run_until([&] { return leader.is_running(1); }, 1s));
+    worker.outcome_of_starts = "failed";
+    leader.submit(2, make_short_step());
+    leader.run_for(50ms);
+    const jobs::task_id failing{jobs::job_id{2}, 0, 0, 0};
+    REQUIRE(
+        leader.run_until([&] { return leader.log.state().find(failing)->failed_runs >= 3; }, 2s));
+    worker.outcome_of_starts = "";
+    leader.submit(3, make_long_running_step(1));
+    CHECK(leader.run_until([&] { return leader.is_running(3); }, 4s));
+}
+
 TEST_CASE("machines: a server accepts runs again after a move without an answer")
 {
     scheduling_leader leader;
