--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -11,7 +11,8 @@
  * move to the next burst or be maintained; a trickle of tasks spread over all servers would prevent
  * that. During a maintenance wave, long-running tasks avoid servers that are still to be
  * maintained; otherwise they would have to move again, and the moves of a step run one after the
- * other.
+ * other. A server that is being drained takes a long-running task only if the task has waited for
+ * another one in vain: if all servers of a pool are being drained, its steps wait for each other.
  */
 
 #include "fescuestream/jobs/server_report.h"
@@ -36,8 +37,13 @@
     std::uint32_t consecutive_failures{0};
     /** The server gets only one trial task at a time. */
     bool is_on_trial{false};
+    /** A trial task is on the server. Long-running tasks at full work are no trial: they do not
+     * end. */
+    bool has_trial_task{false};
     /** The server's machine is due for maintenance. */
     bool maintenance_due{false};
+    /** The server is being drained and takes only tasks that find no other server. */
+    bool draining{false};
 };
 
 /** Placement inputs besides the step's own constraints. */
@@ -48,6 +54,8 @@
     rack_id step_rack;
     /** Server on which the task has just failed; other servers are preferred. */
     server_id avoid;
+    /** The task has waited so long that it may start on a server that is being drained. */
+    bool may_use_draining{false};
 };
 
 /** @return whether the server may run the step, regardless of free resources. */
