Replica: a pre-vote refusal tells the candidate the higher term

What callers could see: everything that had been accepted gone, and 503 to every call for good, after a fault that takes one disk while the other schedulers lose power.

Cause: a replica asks for a pre-vote in its own term plus one. A replica that began an election before a crash has a higher term, and refused with the term that it was asked for. If the replica with the longest log has the older term, it never learned the newer one: it was refused for ever because of its term, and the others because of their logs. It takes all votes that are left, as after a lost disk on three or four schedulers.

Change: a refusal carries the term of the replica that refuses, and a candidate adopts it.

Evidence: the new test with the code before: "REQUIRE( group.leader() != nullptr ) is NOT correct!" after 3 s of the simulation; it passes with the change.

--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -353,8 +353,10 @@
     const bool leader_active = role_ == role::leader || now < no_vote_before_ ||
                                (!leader_.empty() && now - last_leader_contact_ < timing_.election);
     if (m.pre_vote) {
-        reply.term = m.term;
         reply.granted = m.term > hard_state_.term && log_up_to_date && !leader_active && disk_ != 0;
+        // A refusal carries this replica's term: a candidate with an older term but a longer log
+        // could otherwise never ask for a term that this replica accepts.
+        reply.term = reply.granted ? m.term : hard_state_.term;
         messages_after_sync_.emplace_back(from, reply);
         return;
     }
@@ -377,7 +379,8 @@
 void replica<Store>::handle(const instance_id& from, const vote_reply& m, mono_time now)
 {
     if (!m.granted) {
-        if (!m.pre_vote && m.term > hard_state_.term) {
+        const bool relevant = !m.pre_vote || role_ == role::candidate;
+        if (relevant && m.term > hard_state_.term) {
             become_follower(m.term, now);
         }
         return;
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -307,6 +307,28 @@
     }
 }
 
+TEST_CASE("a replica with the longest log and an older term is elected after a disk is lost")
+{
+    replica_group<> group{3, 17};
+    group.form();
+    group.leader()->propose("acknowledged");
+    group.run(50);
+    for (int i = 0; i < 3; ++i) {
+        group.crash(id(i));
+    }
+    // One replica began an election just before the crash, another one has a longer log.
+    auto& longest = group.at(id(0)).disk->synced;
+    const auto last = longest.entries.back();
+    longest.entries.push_back({last.term, last.index + 1, store::entry_kind::command, "extra"});
+    ++group.at(id(1)).disk->synced.hard.term;
+    group.at(id(1)).disk->synced.hard.voted_for = id(1);
+    group.start(id(0));
+    group.start(id(1));
+    group.run(election_steps);
+    REQUIRE(group.leader() != nullptr);
+    CHECK(contains(group.at(id(0)).applied, "acknowledged"));
+}
+
 TEST_CASE("a follower far behind receives a snapshot, which survives a restart")
 {
     replica_group<> group{3, 13};
