Schedulers: of several silent voters the one silent for longest is removed first

What callers could see: no leader, and so everything gone, after a scheduler was replaced while another one was down for a few seconds and the tolerated disks were lost then.

Cause: the first silent voter in the order of the configuration was removed. That could be one that comes back, while the one that was replaced for good stayed, since no more removals are allowed then.

Change: the voter that was heard from last is kept for longest.

Evidence: the new test with the code before: "CHECK( change.voter.id == third_id ) is NOT correct!"; it passes with the change. The order can't tell the two apart if the scheduler that comes back went silent first.

--- a/src/fleet/scheduler_group.cpp
+++ b/src/fleet/scheduler_group.cpp
@@ -45,15 +45,20 @@
         next.voters.push_back(candidate);
         return {voter_change::kind::add, candidate, next};
     }
+    // The voter that has been silent for longest is the most likely one to be gone for good.
+    const consensus::voter* dead = nullptr;
+    mono_time heard_before = now - voter_removal_timeout;
     for (const consensus::voter& v : current.voters) {
         const auto peer = peers.find(v.id);
-        const bool alive = v.id == self || (peer != peers.end() && peer->second.connected);
-        const bool dead =
-            !alive && peer != peers.end() && now - peer->second.last_heard > voter_removal_timeout;
-        if (dead && current.voters.size() > min_voters) {
-            return {voter_change::kind::remove, v, without_voter(current, v)};
+        const bool silent = v.id != self && peer != peers.end() && !peer->second.connected;
+        if (silent && peer->second.last_heard < heard_before) {
+            dead = &v;
+            heard_before = peer->second.last_heard;
         }
     }
+    if (dead != nullptr && current.voters.size() > min_voters) {
+        return {voter_change::kind::remove, *dead, without_voter(current, *dead)};
+    }
     return {};
 }
 
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -131,6 +131,19 @@
           voter_change::kind::none);
 }
 
+TEST_CASE("plan_voters: of two silent voters the one that has been silent for longer is removed")
+{
+    const mono_time now{1h};
+    const std::map<instance_id, scheduler_peer> peers{{second_id, {12, {}, false, now - 3s}},
+                                                      {third_id, {13, {}, false, now - 9s}},
+                                                      {fourth_id, {14, {}, true, now}}};
+    const auto voters =
+        make_configuration({{self_id, 11}, {second_id, 12}, {third_id, 13}, {fourth_id, 14}});
+    const auto change = plan_voters(voters, self_id, peers, always_caught_up, 3, now);
+    CHECK(change.action == voter_change::kind::remove);
+    CHECK(change.voter.id == third_id);
+}
+
 TEST_CASE("voters_to_serve: two voters for each tolerated disk loss and one more")
 {
     CHECK(voters_to_serve(3, 1) == 3);
