Tests: repeated stop signals neither cut a call nor postpone the exit

Replaces test_second_stop_signal_and_reload_do_not_shorten_the_shutdown, which could not fail when the check that a shutdown has begun was taken out. The new case is stricter: signals come until the process ends, the call is open at the end of the grace period, and the exit must be within it.

--- a/tests/e2e/test_job_shutdown.py
+++ b/tests/e2e/test_job_shutdown.py
@@ -188,15 +188,18 @@
         self.assertEqual(self.processes[ENTRY].wait(GRACE_SECONDS), 1)
         self.assertIn(f"cannot listen on {ENTRY}:{READY_PORT}", (self.folder / f"{ENTRY}.log").read_text())
 
-    def test_second_stop_signal_and_reload_do_not_shorten_the_shutdown(self):
+    def test_repeated_signals_neither_cut_a_call_nor_postpone_the_exit(self):
         self.signal_schedulers(signal.SIGSTOP)
-        call = Call(ENTRY, CALLER_PORT, "GET", "/queue/00000000000000a1", {"Deadline-Ms": "4000"})
+        call = Call(ENTRY, CALLER_PORT, "GET", "/queue/00000000000000a1", {"Deadline-Ms": "9000"})
         time.sleep(0.3)
-        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            self.processes[ENTRY].send_signal(number)
-            time.sleep(0.1)
+        began = time.monotonic()
+        while self.processes[ENTRY].poll() is None and time.monotonic() - began < 2 * GRACE_SECONDS:
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                self.processes[ENTRY].send_signal(number)
+            time.sleep(0.2)
+        self.assertLess(time.monotonic() - began, GRACE_SECONDS)
+        self.assertEqual(self.processes[ENTRY].returncode, 0)
         self.assertEqual(call.result(), 504)
-        self.assertEqual(self.processes[ENTRY].wait(GRACE_SECONDS), 0)
 
 
 if __name__ == "__main__":
