--- a/tests/fakes/replica_group.h
+++ b/tests/fakes/replica_group.h
@@ -13,6 +13,9 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <sstream>
+#include <string>
+#include <vector>
 
 namespace fescue::fakes {
 
@@ -181,7 +184,28 @@
     std::set<std::pair<instance_id, instance_id>> cut;
     double drop_probability{0};
 
+    /** Replaces a member's log by a snapshot of what it has applied. */
+    status compact(const instance_id& id)
+    {
+        member& m = members_[id];
+        std::string state;
+        for (const std::string& command : m.applied) {
+            state += command + '\n';
+        }
+        return m.log->compact(std::move(state));
+    }
+
 private:
+    static std::vector<std::string> split_lines(const std::string& text)
+    {
+        std::vector<std::string> out;
+        std::istringstream in{text};
+        for (std::string line; std::getline(in, line);) {
+            out.push_back(line);
+        }
+        return out;
+    }
+
     struct packet {
         instance_id from;
         instance_id to;
@@ -199,7 +223,7 @@
                     in_flight_.push_back({id, to, body});
                 },
                 [&m = m](const store::log_entry& e) { m.applied.push_back(e.bytes); },
-                [&m = m](const store::snapshot& s) { m.applied.assign(1, s.state); }};
+                [&m = m](const store::snapshot& s) { m.applied = split_lines(s.state); }};
             m.log->flush(now, out);
         }
     }
