Scheduler: an ended job is kept by the monotonic clock

Callers could have seen: 410 for a job that had just ended, and a job that runs a second time when its submission arrives again, after a scheduler's wall clock had stepped. Cause: the leader compared the end's time stamp, taken by whichever leader recorded it, with its own wall clock less the retention time. A step or difference of more than the retention time removed ended jobs at once, or kept them for ever. Evidence: job_retention_test.cpp with the criterion of the code before in place of the class: all three cases fail; a job whose time stamp is an hour behind is removed at once, one an hour ahead is not removed after the retention time. Change: each scheduler records on its monotonic clock since when it has observed a job to be ended, and the leader removes those that it has observed for the retention time. After a restart the time begins again.

--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -3,6 +3,7 @@
 #include "caller_api.h"
 #include "control_api.h"
 #include "dispatcher.h"
+#include "job_retention.h"
 #include "machine_driver.h"
 #include "peer_links.h"
 #include "run_driver.h"
@@ -27,7 +28,7 @@
 /** A forwarded control request without a reply from the leader is answered with 503 after this. */
 constexpr milliseconds forward_timeout{950};
 /** Ended jobs are retained this much longer than callers may query them. */
-constexpr std::int64_t job_retention_margin_ms = 5000;
+constexpr milliseconds job_retention_margin{5000};
 /** Time for the transfer of leadership before a stopping scheduler closes its control port. */
 constexpr milliseconds leadership_transfer_time{700};
 constexpr int service_unavailable = 503;
@@ -74,6 +75,7 @@
     std::unique_ptr<caller_api> callers;
     std::unique_ptr<control_api> control;
     std::unique_ptr<http::server> control_server;
+    job_retention retention;
     std::vector<timer_handle> timers;
     term_number leading_term{0};
     shutdown_schedule shutdown;
@@ -87,7 +89,8 @@
     std::uint64_t next_number{wire::random_first_number()};
 
     impl(event_loop& l, const settings::job_service_settings& s, const protocol& w)
-        : loop{l}, settings{s}, wire{w}, client{l, server_connections}
+        : loop{l}, settings{s}, wire{w}, client{l, server_connections},
+          retention{milliseconds{s.bounds.retention_ms} + job_retention_margin}
     {
     }
 
@@ -224,17 +227,9 @@
 
     void purge_old_jobs()
     {
-        if (!may_serve()) {
-            return;
-        }
-        jobs::remove_jobs cmd;
-        const wall_ms cutoff = wall_now() - settings.bounds.retention_ms - job_retention_margin_ms;
-        for (const auto& [id, j] : log->state().jobs) {
-            if (has_ended(j.phase) && j.running == 0 && j.ended_at < cutoff) {
-                cmd.ids.push_back(id);
-            }
-        }
-        if (!cmd.ids.empty()) {
+        // Every scheduler observes the ends, so that a change of leader does not restart the time.
+        const jobs::remove_jobs cmd{retention.observe(log->state(), loop.now())};
+        if (!cmd.ids.empty() && may_serve()) {
             log->propose_here(cmd);
         }
     }
