Tests: which ends of runs count as failed attempts

No fault was found: only an end that a server lists as failed counts, once, and only for the run that the log has as current. Three cases for what the existing one leaves out: an end that is reported again, also after the next run has begun; a run recorded as lost whose server reports it failed later; gang members that end because another one did.

--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -179,6 +179,51 @@
     CHECK(s.jobs.at(test_job_id).phase == job_phase::failed);
 }
 
+TEST_CASE("jobs: a failed run that is reported again counts once")
+{
+    state s = state_with_job({make_step(1)});
+    begin_task(s, make_task_id(0, 0), 1);
+    end_task(s, make_task_id(0, 0), 1, run_outcome::failed);
+    end_task(s, make_task_id(0, 0), 1, run_outcome::failed);
+    begin_task(s, make_task_id(0, 0), 2, server_b);
+    end_task(s, make_task_id(0, 0), 1, run_outcome::failed);
+    CHECK(s.find(make_task_id(0, 0))->failed_runs == 1);
+    CHECK(s.find(make_task_id(0, 0))->phase == task_phase::running);
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::in_progress);
+}
+
+TEST_CASE("jobs: a run that was recorded as lost does not count when its server reports it failed")
+{
+    state s = state_with_job({make_step(1)});
+    for (std::uint32_t attempt = 1; attempt < 5; ++attempt) {
+        begin_task(s, make_task_id(0, 0), attempt);
+        end_task(s, make_task_id(0, 0), attempt, run_outcome::lost);
+        end_task(s, make_task_id(0, 0), attempt, run_outcome::failed);
+    }
+    CHECK(s.find(make_task_id(0, 0))->failed_runs == 0);
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::in_progress);
+}
+
+TEST_CASE("jobs: members of a gang that end because another member failed do not count as attempts")
+{
+    step_spec gang = make_step(2);
+    gang.gang = true;
+    state s = state_with_job({gang});
+    std::uint32_t attempt = 0;
+    for (const run_outcome outcome :
+         {run_outcome::gang_broken, run_outcome::gang_incomplete, run_outcome::gang_broken}) {
+        ++attempt;
+        begin_task(s, make_task_id(0, 0), attempt);
+        begin_task(s, make_task_id(0, 1), attempt);
+        end_task(s, make_task_id(0, 0), attempt,
+                 attempt == 1 ? run_outcome::failed : run_outcome::lapsed);
+        end_task(s, make_task_id(0, 1), attempt, outcome);
+    }
+    REQUIRE(s.jobs.at(test_job_id).phase == job_phase::in_progress);
+    CHECK(s.find(make_task_id(0, 0))->failed_runs == 1);
+    CHECK(s.find(make_task_id(0, 1))->failed_runs == 0);
+}
+
 TEST_CASE(
     "jobs: a long-running task becomes startable again after every run, however often it fails")
 {
