Relay: an order does not depend on the relay peer's wall clock

Seen: runs lapse, and their tasks wait, while the wall clock of a relay peer is 1.5 s or more ahead of the leader's. Cause: the relay peer compares the leader's time stamp in a call with its own wall clock, and refused each call as expired. Polls count as unanswered then, so leases are not renewed. Change: the relay peer tells the leader that it did not send the call; the leader sends it directly unless it has expired by the leader's own monotonic clock. The test of an expired order now delays it for the time instead of changing its time stamp.

--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -379,7 +379,7 @@
 
 struct relayed_answer {
     std::uint64_t number{0};
-    /** Result of the order, encoded by fleet::relay. */
+    /** Result of the order, encoded by fleet::relay; empty: not sent, since it seemed expired. */
     std::string answer;
 
     template <class Archive>
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -86,7 +86,6 @@
 void relay::send(const data_centre_id& data_centre, const server_address& to,
                  const server_order& order, callback done)
 {
-    const bool poll = is_poll(order);
     const auto local_peers = enabled_ ? relay_peers_.find(data_centre) : relay_peers_.end();
     if (local_peers != relay_peers_.end() && !local_peers->second.empty()) {
         const std::size_t hash = std::hash<server_id>{}(to.id);
@@ -94,18 +93,36 @@
         const std::uint64_t number = next_number_++;
         if (send_(relay_peer,
                   wire::relayed_call{number, to_bytes(addressed_order{to, order}), wall_now()})) {
-            const mono_time deadline = loop_.now() + request_timeout(order) + relay_round_trip;
-            pending_calls_.emplace(number,
-                                   pending_call{relay_peer, deadline, poll, std::move(done)});
+            const mono_time now = loop_.now();
+            const mono_time deadline = now + request_timeout(order) + relay_round_trip;
+            pending_calls_.emplace(
+                number, pending_call{relay_peer, deadline, now, to, order, std::move(done)});
             return;
         }
     }
+    send_directly(to, order, std::move(done));
+}
+
+void relay::send_directly(const server_address& to, const server_order& order, callback done)
+{
     client_.send(make_request(to, order),
-                 [this, poll, done = std::move(done)](http::client_response&& r) {
+                 [this, poll = is_poll(order), done = std::move(done)](http::client_response&& r) {
                      done(parse_response(poll, r));
                  });
 }
 
+void relay::resend_unless_expired(pending_call&& call)
+{
+    // The relay peer compared two wall clocks, which may differ.
+    if (loop_.now() - call.sent_at < milliseconds{max_call_age_ms}) {
+        send_directly(call.to, call.order, std::move(call.done));
+        return;
+    }
+    call.done(parse_response(is_poll(call.order),
+                             failed_response(http::delivery::not_sent,
+                                             "the call expired before it reached the relay peer")));
+}
+
 void relay::handle(const instance_id& from, const wire::relayed_call& call)
 {
     const auto decoded = from_bytes<addressed_order>(call.order);
@@ -123,8 +140,7 @@
     const std::int64_t age = wall_now() - call.asked_at;
     if (age > max_call_age_ms) {
         log::warning("relayed_call_too_old", {{"from", from.str()}, {"age_ms", age}});
-        send_answer(failed_response(http::delivery::not_sent,
-                                    "the call expired before it reached the relay peer"));
+        send_(from, wire::relayed_answer{call.number, {}});
         return;
     }
     client_.send(make_request(order.to, order.order), send_answer);
@@ -136,9 +152,14 @@
     if (found == pending_calls_.end()) {
         return;
     }
+    if (answer.answer.empty()) {
+        auto node = pending_calls_.extract(found);
+        resend_unless_expired(std::move(node.mapped()));
+        return;
+    }
     auto decoded = from_bytes<server_answer>(answer.answer);
-    const bool matches_order =
-        ok(decoded) && std::holds_alternative<order_reply>(value(decoded)) != found->second.poll;
+    const bool matches_order = ok(decoded) && std::holds_alternative<order_reply>(value(decoded)) !=
+                                                  is_poll(found->second.order);
     if (!matches_order) {
         log::warning("relayed_answer_unreadable",
                      {{"from", found->second.relay_peer.str()},
@@ -164,8 +185,8 @@
 {
     auto node = pending_calls_.extract(number);
     if (!node.empty()) {
-        node.mapped().done(
-            parse_response(node.mapped().poll, failed_response(http::delivery::lost, why)));
+        node.mapped().done(parse_response(is_poll(node.mapped().order),
+                                          failed_response(http::delivery::lost, why)));
     }
 }
 
--- a/src/fleet/relay.h
+++ b/src/fleet/relay.h
@@ -51,12 +51,17 @@
     struct pending_call {
         instance_id relay_peer;
         mono_time deadline{};
-        bool poll{false};
+        mono_time sent_at{};
+        server_address to;
+        server_order order;
         callback done;
     };
 
     http::client_request make_request(const server_address& to, const server_order& order) const;
     server_answer parse_response(bool poll, const http::client_response& response) const;
+    void send_directly(const server_address& to, const server_order& order, callback done);
+    /** Handles a call that the relay peer did not send, because it seemed to have expired. */
+    void resend_unless_expired(pending_call&& call);
     /** Completes a pending call as one whose answer was lost. */
     void fail_call(std::uint64_t number, const char* why);
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -78,6 +78,13 @@
         leader.enable(true);
     }
 
+    /** Runs the loop without delivering the calls in flight. */
+    void delay_calls(milliseconds time)
+    {
+        const auto stop = loop.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
     void run_for(milliseconds time)
     {
         for (const wire::relayed_call& call : std::exchange(calls_in_flight, {})) {
@@ -91,7 +98,7 @@
     {
         if (connected && delivers_calls) {
             wire::relayed_call call = std::get<wire::relayed_call>(m);
-            call.asked_at -= delay_ms;
+            call.asked_at -= peer_clock_ahead_ms;
             calls_in_flight.push_back(call);
         }
         return connected;
@@ -113,7 +120,8 @@
     counting_protocol peer_protocol;
     bool connected{true};
     bool delivers_calls{true};
-    std::int64_t delay_ms{0};
+    /** Difference of the relay peer's wall clock to the leader's. */
+    std::int64_t peer_clock_ahead_ms{0};
     std::string answer_override;
     std::vector<wire::relayed_call> calls_in_flight;
     relay leader{loop, client, leader_protocol.functions,
@@ -182,15 +190,31 @@
 TEST_CASE("relay: an order that has expired when it reaches the relay peer is reported as not sent")
 {
     relay_fixture fixture;
-    fixture.delay_ms = 1600;
     fixture.leader.send(local_data_centre, target_server, make_start_order("late"),
                         fixture.collect_answer);
+    fixture.delay_calls(1600ms);
     fixture.run_for(100ms);
     REQUIRE(fixture.answers.size() == 1);
     CHECK(std::get<order_reply>(fixture.answers[0]).result == order_result::not_sent);
     CHECK(fixture.bodies.empty());
 }
 
+TEST_CASE("relay: orders reach the server although the relay peer's wall clock is ahead")
+{
+    relay_fixture fixture;
+    fixture.peer_clock_ahead_ms = 2000;
+    fixture.leader.send(local_data_centre, target_server, make_start_order("work"),
+                        fixture.collect_answer);
+    fixture.leader.send(local_data_centre, target_server, poll_order{}, fixture.collect_answer);
+    fixture.run_for(200ms);
+    CHECK(fixture.bodies.size() == 2);
+    REQUIRE(fixture.answers.size() == 2);
+    const bool first_is_start = std::holds_alternative<order_reply>(fixture.answers[0]);
+    CHECK(std::get<order_reply>(fixture.answers[first_is_start ? 0 : 1]).result ==
+          order_result::accepted);
+    CHECK(ok(std::get<result<poll_reply>>(fixture.answers[first_is_start ? 1 : 0])));
+}
+
 TEST_CASE("relay: orders at a disconnected relay peer complete as unanswered, with the order's "
           "answer type")
 {
