HTTP server: accept every waiting connection before the listening socket closes

Callers saw: a connection that was reset while an entry stopped, though the whole request had been sent. Cause: MHD_run() accepts a bounded number of connections a call, and the server called it once before it closed the listening socket. Change: the server accepts until none waits.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <charconv>
@@ -324,8 +325,13 @@
     impl_->accepting = false;
     impl_->close_connections = true;
     impl_->last_activity = impl_->loop.now();
-    // Closing the listening socket resets the connections that have not been accepted.
-    impl_->run_daemon();
+    // Closing the listening socket resets the connections that have not been accepted, and
+    // MHD_run() accepts a bounded number.
+    const auto* info = MHD_get_daemon_info(impl_->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    pollfd waiting{info->listen_fd, POLLIN, 0};
+    for (unsigned i = 0; i < max_connections && poll(&waiting, 1, 0) > 0; ++i) {
+        impl_->run_daemon();
+    }
     const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
     if (listener != MHD_INVALID_SOCKET) {
         close(listener);
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -7,7 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <memory>
 
 using namespace fescue;
 using namespace fescue::http;
@@ -225,6 +227,27 @@
     CHECK(connection.read().starts_with("HTTP/1.1 200 OK"));
 }
 
+TEST_CASE("http server: connections that wait to be accepted are served when it stops accepting")
+{
+    event_loop loop;
+    holding_server s{loop};
+    run_for(loop, milliseconds{20});
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    for (int i = 0; i < 30; ++i) {
+        connections.push_back(std::make_unique<raw_connection>(holding_server::address));
+        connections.back()->write(simple_request);
+    }
+    s.http.stop_accepting();
+    run_for(loop, quiet_time);
+    CHECK(s.held.size() == connections.size());
+    s.respond_to_held();
+    run_for(loop, quiet_time);
+    CHECK(std::ranges::all_of(connections, [](const auto& connection) {
+        return connection->read().starts_with("HTTP/1.1 200 OK");
+    }));
+    CHECK(s.http.is_drained());
+}
+
 TEST_CASE("http server: a response that was just queued is written before the server is drained")
 {
     event_loop loop;
