Caller API: a job of an open queue stays known when the queue is renamed

Callers could have seen: 410 for an accepted job, 409 for its second submission, once a document had renamed an open queue. Cause: the queue of the job was compared by id only. Evidence: caller api: a job of an open queue stays known when the queue is renamed; on the code before 410 == 200, 409 == 200, 410 == 200. Change: a job whose queue the document no longer has also belongs to a queue of the same pool. Measured: the case passes.

--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -157,10 +157,17 @@
     }
     const jobs::job& job = found->second;
     // The queue needs no key, or needed none when it accepted the job.
-    const bool keyless = job.queue == queue.id && (queue.open || job.account.empty());
+    const bool keyless = is_job_of_queue(job, queue) && (queue.open || job.account.empty());
     return keyless || job.account == account ? &job : nullptr;
 }
 
+bool caller_api::is_job_of_queue(const jobs::job& job, const jobs::queue& queue) const
+{
+    const bool renamed =
+        !context_.state().doc.queues.contains(job.queue) && job.terms.pool == queue.terms.pool;
+    return job.queue == queue.id || renamed;
+}
+
 void caller_api::get_state(const team_id& account, const jobs::queue& queue,
                            const std::string& job_id_text, const reply_function& reply) const
 {
--- a/src/fleet/caller_api.h
+++ b/src/fleet/caller_api.h
@@ -39,6 +39,9 @@
     /** @return the job, or nullptr if it does not exist or is not the caller's. */
     const jobs::job* find_job(const team_id& account, const jobs::queue& queue,
                               const jobs::job_id& id) const;
+    /** @return whether the queue accepted the job, or may have under an id that the document no
+     * longer has. */
+    bool is_job_of_queue(const jobs::job& job, const jobs::queue& queue) const;
 
     core_context& context_;
 };
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -199,3 +199,14 @@
     CHECK(leader.status_of("GET", "/orders/nested/", shop_key) == not_found);
     CHECK(leader.status_of("GET", "/orders/fedcba9876543210", shop_key) == gone);
 }
+
+TEST_CASE("caller api: a job of an open queue stays known when the queue is renamed")
+{
+    leader_of_one leader;
+    CHECK(leader.status_of("POST", "/open/1123456789abcdef", shop_key) == ok_status);
+    CHECK(leader.status_of("POST", "/open/2123456789abcdef") == ok_status);
+    leader.put({make_queue("opened", "/open/", true)});
+    CHECK(leader.status_of("GET", "/open/1123456789abcdef") == ok_status);
+    CHECK(leader.status_of("POST", "/open/1123456789abcdef") == ok_status);
+    CHECK(leader.status_of("GET", "/open/2123456789abcdef", shop_key) == ok_status);
+}
