Soak: callers that keep their connections open, and planned stops that overlap

Its load generator uses libcurl, which resends a request whose connection ends, and stops came one at a time. Change: callers on plain sockets keep their connections open and send on until the instance has closed them. A violation is now also: a request whose last byte was sent over 200 ms before its connection ended without an answer, with no kill, pause or wipe from 3 s before; a stopped process that does not exit with status 0 within its grace period; 410, failed or canceled for an accepted job; a long-running task that is not started within 3 s, in 7 s without any fault.

--- a/tests/fakes/worker_farm.cpp
+++ b/tests/fakes/worker_farm.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdio>
 #include <map>
 #include <random>
 #include <set>
@@ -38,11 +39,17 @@
     int task_cpu{1000};
     /** Servers are assigned round-robin to this many data centres. */
     int data_centres{1};
+    /** Time for which jobs are submitted; 0: until SIGTERM. */
     int seconds{10};
     std::uint64_t seed{1};
 };
 
 constexpr std::array data_centre_names{"north", "south", "west"};
+/** Runs with this text in their job's spec last until they are stopped, or fail after this time. */
+constexpr std::string_view long_running_spec = "long-running";
+constexpr std::int64_t shortest_lifetime_ms = 2'000;
+constexpr std::int64_t longest_lifetime_ms = 9'000;
+constexpr std::int64_t unlimited_ms = 1LL << 40;
 
 std::int64_t now_ms()
 {
@@ -102,7 +109,8 @@
     simulated_server(event_loop& loop, http::client& client, execution_checker& checker,
                      const options& opts, int number)
         : loop_{loop}, client_{client}, checker_{checker}, opts_{opts}, number_{number},
-          id_{fmt::format("i-{:04}", number)}, incarnation_{wall_now()},
+          id_{fmt::format("i-{:04}", number)},
+          incarnation_{wall_now()}, random_{opts.seed + static_cast<std::uint64_t>(number)},
           http_server_{loop, [this](http::exchange_id exchange, http::request&& request) {
                            handle_request(exchange, request);
                        }}
@@ -124,6 +132,7 @@
         std::int64_t ends_at_ms{0};
         std::int64_t started_at_ms{0};
         std::int64_t duration_ms{1};
+        bool long_running{false};
     };
     struct finished_run {
         std::uint64_t sequence{0};
@@ -188,7 +197,15 @@
         highest_attempt_[task] = attempt;
         checker_.task_started(task, id_);
         const std::int64_t now = now_ms();
-        runs_[task] = {attempt, now + opts_.task_ms, now, opts_.task_ms};
+        const bool long_running = body["spec"] == long_running_spec;
+        const std::int64_t duration_ms =
+            long_running
+                ? std::uniform_int_distribution{shortest_lifetime_ms, longest_lifetime_ms}(random_)
+                : opts_.task_ms;
+        runs_[task] = {attempt, now + duration_ms, now, duration_ms, long_running};
+        if (long_running) {
+            fmt::print("LONG-RUNNING started {} {}\n", task, now);
+        }
         respond(exchange, 200, with_identity({}));
     }
 
@@ -221,8 +238,11 @@
     {
         json out = with_identity({{"active", json::array()}, {"finished", json::array()}});
         for (const auto& [task, current_run] : runs_) {
-            const auto percent = std::min<std::int64_t>(
-                100, (now_ms() - current_run.started_at_ms) * 100 / current_run.duration_ms);
+            const std::int64_t percent =
+                current_run.long_running
+                    ? 100
+                    : std::min<std::int64_t>(100, (now_ms() - current_run.started_at_ms) * 100 /
+                                                      current_run.duration_ms);
             out["active"].push_back({task, current_run.attempt, "", percent, 1000});
         }
         for (const finished_run& finished : finished_runs_) {
@@ -238,6 +258,9 @@
         finished_runs_.push_back(
             {++last_finished_sequence_, position->first, position->second.attempt, outcome});
         checker_.task_ended(position->first, std::string_view{outcome} == "done");
+        if (position->second.long_running) {
+            fmt::print("LONG-RUNNING {} {} {}\n", outcome, position->first, now_ms());
+        }
         return runs_.erase(position);
     }
 
@@ -248,7 +271,7 @@
             if (now > lease_until_ms_) {
                 position = finish_run(position, "lapsed");
             } else if (now >= position->second.ends_at_ms) {
-                position = finish_run(position, "done");
+                position = finish_run(position, position->second.long_running ? "failed" : "done");
             } else {
                 ++position;
             }
@@ -298,6 +321,7 @@
     std::string id_;
     std::string address_;
     std::int64_t incarnation_;
+    std::mt19937_64 random_;
     http::server http_server_;
     std::map<std::string, active_run> runs_;
     std::map<std::string, std::uint32_t> highest_attempt_;
@@ -320,6 +344,10 @@
         : loop_{loop}, client_{client}, checker_{checker}, opts_{opts}, random_{opts.seed}
     {
         checker_.tasks_per_step = static_cast<std::uint32_t>(opts.tasks);
+        if (opts.seconds > 0) {
+            submission_ms_ = opts.seconds * std::int64_t{1000};
+        }
+        loop_.on_signal(SIGTERM, [this] { submission_ms_ = now_ms() - started_at_ms_; });
         put_config();
     }
 
@@ -388,9 +416,9 @@
     void submit_due_jobs()
     {
         const std::int64_t elapsed_ms = now_ms() - started_at_ms_;
-        const bool submission_over = elapsed_ms > opts_.seconds * 1000;
+        const bool submission_over = elapsed_ms > submission_ms_;
         const auto due = static_cast<std::uint64_t>(
-            static_cast<double>(std::min<std::int64_t>(elapsed_ms, opts_.seconds * 1000)) / 1000.0 *
+            static_cast<double>(std::min<std::int64_t>(elapsed_ms, submission_ms_)) / 1000.0 *
             opts_.jobs_per_s);
         while (submitted_ < due) {
             ++submitted_;
@@ -398,7 +426,7 @@
         }
         constexpr std::int64_t completion_grace_ms = 30'000;
         if (submission_over &&
-            (jobs_.empty() || elapsed_ms > opts_.seconds * 1000 + completion_grace_ms)) {
+            (jobs_.empty() || elapsed_ms > submission_ms_ + completion_grace_ms)) {
             print_summary();
         }
     }
@@ -439,7 +467,8 @@
                      } else if (response.body.find("completed") != std::string::npos) {
                          latencies_ms_.push_back(now_ms() - jobs_[id].submitted_at_ms);
                          jobs_.erase(id);
-                     } else if (response.body.find("failed") != std::string::npos) {
+                     } else if (response.body.find("failed") != std::string::npos ||
+                                response.body.find("canceled") != std::string::npos) {
                          checker_.report_violation("valid job failed: " + id);
                          jobs_.erase(id);
                      } else {
@@ -481,6 +510,7 @@
     std::uint64_t refused_{0};
     std::size_t config_attempts_{0};
     std::int64_t started_at_ms_{0};
+    std::int64_t submission_ms_{unlimited_ms};
     timer_handle submit_timer_;
     timer_handle retry_timer_;
 };
@@ -556,6 +586,8 @@
 {
     const options opts = read_options(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    // The log writes to the same file past the buffer.
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     event_loop loop;
     http::client client{loop};
     execution_checker checker;
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,128 @@
+"""Faults of the soak: single ones, and series of planned stops that overlap."""
+
+import shutil
+import signal
+import threading
+import time
+
+from callers import now
+from checks import GRACE_SECONDS, Fault
+
+# A restarted scheduler counts as lost until its log has caught up; the deployments allow 4 to 6 s for that.
+CATCH_UP_SECONDS = 5.0
+# A process that was started this long ago has installed its signal handlers.
+START_SECONDS = 1.0
+
+
+class FaultInjector:
+    """Injects faults and keeps their times."""
+
+    def __init__(self, schedulers, entries, rng):
+        self.schedulers, self.entries, self.rng = schedulers, entries, rng
+        self.faults, self.violations = [], []
+
+    def run(self, end_at, planned_only):
+        """Waits for a scheduler to catch up after each of its unplanned faults and after each series, since three
+        schedulers tolerate the loss of only one."""
+        while now() < end_at:
+            if planned_only or self.rng.random() < 0.4:
+                series = self.rng.choice([self.stop_one, self.stop_all_entries, self.stop_entry_then_schedulers,
+                                          self.stop_schedulers_in_turn, self.stop_entry_during_restarts, self.reload])
+                series()
+                time.sleep(self.rng.uniform(0.5, 2.0) if planned_only else CATCH_UP_SECONDS)
+            else:
+                self.inject_unplanned()
+
+    def inject_unplanned(self):
+        if self.rng.random() < 0.3:
+            victim, kind = self.rng.choice(self.entries), self.rng.choice(["kill", "pause"])
+        else:
+            victim, kind = self.rng.choice(self.schedulers), self.rng.choice(["kill", "kill", "pause", "wipe"])
+        fault = self.record(kind, victim, planned=False)
+        if kind == "pause":
+            victim.send_signal(signal.SIGSTOP)
+            time.sleep(self.rng.uniform(0.3, 3.0))
+            victim.send_signal(signal.SIGCONT)
+        else:
+            victim.kill()
+            if kind == "wipe":
+                shutil.rmtree(victim.data)
+            time.sleep(self.rng.uniform(0.05, 1.5))
+            victim.start()
+        fault.ended_at = now()
+        time.sleep(CATCH_UP_SECONDS if victim.scheduler else self.rng.uniform(0.0, 0.5))
+
+    def record(self, kind, instance, planned):
+        self.faults.append(Fault(kind, instance.address, now(), planned=planned))
+        return self.faults[-1]
+
+    def restart(self, instance, down_seconds):
+        """Stops an instance as the platform does, with SIGKILL at the end of the grace period, and starts it again."""
+        time.sleep(max(0.0, instance.started_at + START_SECONDS - now()))
+        fault = self.record("stop", instance, planned=True)
+        instance.send_signal(signal.SIGTERM)
+        status = instance.wait(GRACE_SECONDS)
+        if status != 0:
+            self.violations.append(f"{instance.address} was stopped and ended with status {status} "
+                                   f"after {now() - fault.began_at:.2f} s")
+        time.sleep(down_seconds)
+        instance.start()
+        fault.ended_at = now()
+
+    def restart_at(self, *stops):
+        """Restarts several instances; each stop is (instance, seconds until it is stopped[, seconds down])."""
+        threads = []
+        for instance, delay, *down in stops:
+            down_seconds = down[0] if down else self.rng.uniform(0.05, 1.5)
+            threads.append(threading.Timer(delay, self.restart, (instance, down_seconds)))
+            threads[-1].start()
+        for t in threads:
+            t.join()
+
+    def leader(self):
+        """The scheduler that became leader last."""
+        return max(self.schedulers, key=lambda s: s.last_elected_ms())
+
+    def stop_one(self):
+        self.restart_at((self.rng.choice([self.leader(), *self.schedulers, *self.entries]), 0.0))
+
+    def stop_all_entries(self):
+        self.restart_at(*((e, self.rng.uniform(0.0, 1.0)) for e in self.entries))
+
+    def stop_entry_then_schedulers(self):
+        """Stops the leader while entries drain, and at times a second scheduler too: the third has no majority, so
+        that the entries answer their last calls themselves."""
+        delays = [self.rng.uniform(0.0, 0.3) for _ in self.entries]
+        entries = self.entries if self.rng.random() < 0.5 else [self.rng.choice(self.entries)]
+        leader = self.leader()
+        if self.rng.random() < 0.5:
+            stops = [(leader, self.rng.uniform(1.8, 2.5))]
+        else:
+            other = self.rng.choice([s for s in self.schedulers if s is not leader])
+            stops = [(s, self.rng.uniform(0.5, 1.2), self.rng.uniform(4.5, 6.0)) for s in (leader, other)]
+        self.restart_at(*zip(entries, delays), *stops)
+
+    def stop_schedulers_in_turn(self):
+        """Stops each scheduler as soon as the one before it runs again."""
+        order = self.rng.sample(self.schedulers, len(self.schedulers))
+        if self.rng.random() < 0.5:
+            order.sort(key=lambda s: s.last_elected_ms(), reverse=True)
+        for scheduler in order:
+            self.restart(scheduler, self.rng.uniform(0.05, 0.5))
+            time.sleep(self.rng.uniform(0.0, 1.0))
+
+    def stop_entry_during_restarts(self):
+        delay = self.rng.uniform(0.0, 2.0)
+        entry = threading.Timer(delay, self.restart, (self.rng.choice(self.entries), self.rng.uniform(0.05, 1.5)))
+        entry.start()
+        self.stop_schedulers_in_turn()
+        entry.join()
+
+    def reload(self):
+        """Sends SIGHUP to some instances, one of which is stopped shortly after."""
+        chosen = self.rng.sample(self.schedulers + self.entries, 2)
+        for instance in chosen:
+            instance.send_signal(signal.SIGHUP)
+        time.sleep(self.rng.uniform(0.0, 0.5))
+        if self.rng.random() < 0.5:
+            self.restart(chosen[0], 0.3)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,11 +1,13 @@
 """Injects random faults into the real programs of the job service on loopback.
 
-Three schedulers, two entries and a simulated fleet of backend servers (worker_farm) run as processes of their
-own. Faults follow one another while the load runs: kills, pauses, planned stops and lost disks. worker_farm
-reports a violation when a task runs twice at a time or before its predecessors, or when an accepted job is
-lost or not completed.
+Schedulers, entries and a simulated fleet of backend servers (worker_farm) run as processes of their own. Faults follow
+one another while the load runs: kills, pauses, lost disks and series of planned stops; at the end there is a calm
+time. worker_farm reports a violation when a task runs twice at a time or before its predecessors, or when an
+accepted job is lost or not completed; checks.py judges the answers to callers that keep their connections open, and
+the restarts of long-running tasks.
 
     soak.py --first 1 --seeds 50            fifty seeds, one after the other
+    soak.py --planned --first 1             the same with planned stops as the only faults
     soak.py --regression                    the seeds in regression_seeds.txt
 """
 
@@ -14,6 +16,7 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import subprocess
@@ -21,136 +24,205 @@
 import tempfile
 import time
 
+import checks
+from callers import LONG_RUNNING_TASKS, Callers, now
+from faults import FaultInjector
+
 BUILD = pathlib.Path(os.environ.get("FESCUE_BUILD", "build")).resolve()
 HERE = pathlib.Path(__file__).resolve().parent
-SCHEDULERS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
-ENTRIES = ["127.0.0.14", "127.0.0.15"]
 PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT = 7500, 7501, 7502, 7503
-# A restarted scheduler counts as lost until its log has caught up; the deployments allow 4 to 6 s for that.
-CATCH_UP_SECONDS = 5.0
 DATA_CENTRES = ["north", "south", "west"]
+# Long enough for a long-running task to become due.
+CALM_AT_END_SECONDS = checks.CALM_SECONDS + 1.5
+
+
+def address(index):
+    return f"127.0.1.{11 + index}"
 
 
 class Instance:
     """A fescued process that can be killed, paused and restarted."""
 
-    def __init__(self, folder, address, scheduler):
-        self.folder, self.address, self.scheduler = folder, address, scheduler
-        self.data = folder / f"data-{address}"
-        self.settings = folder / f"{address}.json"
-        self.log = open(folder / f"{address}.log", "ab")
+    def __init__(self, program, folder, index, scheduler, seeds):
+        self.program, self.address, self.scheduler = program, address(index), scheduler
+        self.data = folder / f"data-{self.address}"
+        self.log_file = folder / f"{self.address}.log"
+        self.log = open(self.log_file, "ab")
         self.process = None
-
-    def start(self, first=False):
-        index = (SCHEDULERS if self.scheduler else ENTRIES).index(self.address)
+        self.started_at = 0.0
         listen = {"peers": f"{self.address}:{PEER_PORT}"}
-        if self.scheduler:
+        if scheduler:
             listen["control"] = f"{self.address}:{CONTROL_PORT}"
         else:
             listen["callers"] = f"{self.address}:{CALLER_PORT}"
             listen["readiness"] = f"{self.address}:{READY_PORT}"
-        settings = {"role": "scheduler" if self.scheduler else "entry", "id": self.address,
-                    "data_centre": DATA_CENTRES[index], "listen": listen, "seeds": SCHEDULERS,
-                    "first_start": first, "cluster_secret": "soak"}
-        if self.scheduler:
+        settings = {"role": "scheduler" if scheduler else "entry", "id": self.address,
+                    "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)], "listen": listen, "seeds": seeds,
+                    "first_start": True, "cluster_secret": "soak", "bounds": {"grace_s": checks.GRACE_SECONDS}}
+        if scheduler:
             settings["data_folder"] = str(self.data)
-        self.settings.write_text(json.dumps(settings))
-        self.process = subprocess.Popen([BUILD / "fescued", "--config", self.settings],
+        self.settings_file = folder / f"{self.address}.json"
+        self.settings = settings
+
+    def start(self):
+        self.settings_file.write_text(json.dumps(self.settings))
+        self.process = subprocess.Popen([self.program, "--config", self.settings_file],
                                         stdout=self.log, stderr=self.log)
+        self.settings["first_start"] = False
+        self.started_at = now()
 
     def send_signal(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def wait(self, seconds):
+        """Waits for the end of the process and kills it after the given time. Returns its exit status."""
+        try:
+            return self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+
     def kill(self):
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGKILL)
         self.process.wait()
 
-
-def inject_fault(kind, instance, rng):
-    """Injects one fault and returns after the instance runs again."""
-    if kind == "pause":
-        instance.send_signal(signal.SIGSTOP)
-        time.sleep(rng.uniform(0.3, 3.0))
-        instance.send_signal(signal.SIGCONT)
-        return
-    instance.send_signal(signal.SIGTERM if kind == "stop" else signal.SIGKILL)
-    instance.process.wait()
-    if kind == "wipe":
-        shutil.rmtree(instance.data)
-    time.sleep(rng.uniform(0.05, 1.5))
-    instance.start()
-
-
-def inject_faults(schedulers, entries, rng, end_at, injected):
-    """Injects faults one after the other. Waits for a scheduler to catch up after each of its faults, since
-    three schedulers tolerate the loss of only one."""
-    while time.time() < end_at:
-        if rng.random() < 0.3:
-            victim, kind = rng.choice(entries), rng.choice(["kill", "pause", "stop"])
-        else:
-            victim = rng.choice(schedulers)
-            kind = rng.choice(["kill", "kill", "pause", "stop", "wipe"])
-        injected.append(f"{time.strftime('%H:%M:%S')} {kind} {victim.address}")
-        inject_fault(kind, victim, rng)
-        time.sleep(CATCH_UP_SECONDS if victim.scheduler else rng.uniform(0.0, 0.5))
-
-
-def run_seed(seed, seconds, keep):
-    rng = random.Random(seed)
-    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    schedulers = [Instance(folder, a, True) for a in SCHEDULERS]
-    entries = [Instance(folder, a, False) for a in ENTRIES]
-    instances = schedulers + entries
-    injected = []
-    farm = None
-    try:
-        for i in instances:
-            i.start(first=True)
-        args = [BUILD / "tests/worker_farm", "--servers", "10", "--rate", "6", "--tasks", "4", "--task-ms",
-                "300", "--seconds", str(seconds), "--seed", str(seed), "--first-port", "21000"]
-        for a in SCHEDULERS:
-            args += ["--control", f"{a}:{CONTROL_PORT}"]
-        for a in ENTRIES:
-            args += ["--entry", f"{a}:{CALLER_PORT}"]
-        farm = subprocess.Popen(args, stdout=subprocess.PIPE, text=True)
-        time.sleep(2.0)
-        inject_faults(schedulers, entries, rng, time.time() + seconds - 2.0, injected)
-        out, _ = farm.communicate(timeout=90)
-    except subprocess.TimeoutExpired:
-        farm.kill()
-        out = "VIOLATION worker_farm did not finish in time\n" + (farm.communicate()[0] or "")
-    finally:
-        for i in instances:
-            i.kill()
-            i.log.close()
-    passed = farm.returncode == 0 and "VIOLATION" not in out
-    print(f"seed {seed}: {'passed' if passed else 'FAILED'}: {out.strip().splitlines()[-1]}", flush=True)
-    if not passed:
-        (folder / "faults.txt").write_text("\n".join(injected) + "\n" + out)
-        print(f"  logs and faults: {folder}", flush=True)
-    elif not keep:
-        shutil.rmtree(folder)
-    return passed
+    def last_elected_ms(self):
+        """Wall clock time when it became leader last, 0 if it never did."""
+        elections = re.findall(r"time_ms=(\d+).* event=leading\b", self.log_file.read_text(errors="replace"))
+        return int(elections[-1]) if elections else 0
+
+
+class Run:
+    """One seed: the processes, the load, the faults and the judgement."""
+
+    def __init__(self, seed, args, planned, seconds):
+        self.seed, self.args, self.planned, self.seconds = seed, args, planned, seconds
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        seeds = [address(i) for i in range(args.schedulers)]
+        count = args.schedulers + args.entries
+        self.instances = [Instance(args.fescued, self.folder, i, i < args.schedulers, seeds) for i in range(count)]
+        self.schedulers, self.entries = self.instances[:args.schedulers], self.instances[args.schedulers:]
+        self.injector = FaultInjector(self.schedulers, self.entries, random.Random(seed))
+        self.farm_output = self.folder / "worker_farm.out"
+        self.callers = None
+
+    def start_farm(self):
+        args = [BUILD / "tests/worker_farm", "--servers", "10", "--rate", "6", "--tasks", "4", "--task-ms", "300",
+                "--seconds", "0", "--seed", str(self.seed), "--first-port", "21000"]
+        for i in self.schedulers:
+            args += ["--control", f"{i.address}:{CONTROL_PORT}"]
+        for i in self.entries:
+            args += ["--entry", f"{i.address}:{CALLER_PORT}"]
+        with open(self.farm_output, "wb") as out:
+            return subprocess.Popen(args, stdout=out)
+
+    def play(self):
+        """Returns the violations."""
+        farm = None
+        try:
+            for i in self.instances:
+                i.start()
+            farm = self.start_farm()
+            self.callers = Callers([e.address for e in self.entries], [s.address for s in self.schedulers],
+                                   CALLER_PORT, CONTROL_PORT, self.args.callers or (3, 12)[self.seed % 2], self.seed)
+            time.sleep(2.0)
+            self.injector.run(now() + self.seconds - 2.0, self.planned)
+            time.sleep(CALM_AT_END_SECONDS)
+            end_at = now()
+            self.callers.stop()  # worker_farm runs on, since the accepted jobs must complete
+            farm.send_signal(signal.SIGTERM)
+            farm.wait(90)
+        finally:
+            if farm is not None and farm.poll() is None:
+                farm.kill()
+                farm.wait()
+            for i in self.instances:
+                i.kill()
+                i.log.close()
+        return self.violations(end_at)
+
+    def violations(self, end_at):
+        output = self.farm_output.read_text()
+        requests, faults = self.callers.requests, self.injector.faults
+        out = [line for line in output.splitlines() if line.startswith("VIOLATION")]
+        out += self.injector.violations
+        out += checks.unanswered_requests(requests, faults)
+        out += checks.lost_jobs(requests, self.callers.accepted)
+        out += checks.idle_tasks(self.long_running_runs(output), self.long_running_tasks(), faults, end_at)
+        out += [f"accepted job {job} did not complete" for job in sorted(self.callers.unfinished)]
+        return out
+
+    def long_running_tasks(self):
+        return {f"{job}.0.0.{n}": self.callers.accepted[job]
+                for job in self.callers.long_running for n in range(LONG_RUNNING_TASKS)}
+
+    @staticmethod
+    def long_running_runs(output):
+        """(start, end) of the runs of each long-running task."""
+        out, started_at = {}, {}
+        for what, task, at_ms in re.findall(r"^LONG-RUNNING (\w+) (\S+) (\d+)$", output, re.MULTILINE):
+            if what == "started":
+                started_at[task] = int(at_ms) / 1000
+            else:
+                out.setdefault(task, []).append((started_at.pop(task), int(at_ms) / 1000))
+        for task, began_at in started_at.items():
+            out.setdefault(task, []).append((began_at, float("inf")))
+        return out
+
+    def write_report(self, violations):
+        """Writes the faults and the requests that were not answered beside the logs."""
+        lines = [f"{f.began_at:.3f} to {f.ended_at:.3f} {f.kind} {f.address}" for f in self.injector.faults]
+        lines += [f"{r.sent_at:.3f} to {r.ended_at:.3f} {r.method} {r.path} {r.address}"
+                  for r in self.callers.requests if not r.status]
+        (self.folder / "report.txt").write_text("\n".join(violations + lines) + "\n")
+
+
+def run_seed(seed, args, planned, seconds):
+    run = Run(seed, args, planned, seconds)
+    violations = run.play()
+    judged = [r for r in run.callers.requests if checks.is_judged(r, run.injector.faults)]
+    summary = " ".join(re.findall(r"^jobs .*", run.farm_output.read_text(), re.MULTILINE))
+    mode = "planned" if planned else "mixed"
+    print(f"seed {seed} {mode}: {'FAILED' if violations else 'passed'}: {len(run.injector.faults)} faults, "
+          f"{len(judged)} of {len(run.callers.requests)} requests judged, "
+          f"{len(run.callers.long_running) * LONG_RUNNING_TASKS} long-running tasks; {summary}", flush=True)
+    for v in violations:
+        print(f"  VIOLATION {v}", flush=True)
+    if violations or args.keep:
+        run.write_report(violations)
+        print(f"  logs and faults: {run.folder}", flush=True)
+    else:
+        shutil.rmtree(run.folder)
+    return not violations
 
 
 def regression_seeds():
+    """(seed, whether only planned stops are injected, seconds with faults) of each line."""
     lines = (HERE / "regression_seeds.txt").read_text().splitlines()
-    return [int(line.split()[0]) for line in lines if line.strip() and not line.startswith("#")]
+    fields = [line.split() for line in lines if line.strip() and not line.startswith("#")]
+    return [(int(f[0]), {"planned": True, "mixed": False}[f[1]], float(f[2])) for f in fields]
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--seconds", type=float, default=16, help="time until the last fault begins")
+    parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--schedulers", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--callers", type=int, help="callers of each entry; default: few or many, by the seed")
+    parser.add_argument("--fescued", default=BUILD / "fescued", help="the program under test")
     parser.add_argument("--regression", action="store_true")
     parser.add_argument("--keep", action="store_true")
     args = parser.parse_args()
-    seeds = regression_seeds() if args.regression else range(args.first, args.first + args.seeds)
-    failed = [s for s in seeds if not run_seed(s, args.seconds, args.keep)]
-    print(f"{len(list(seeds)) - len(failed)} passed, {len(failed)} failed")
+    seeds = [(s, args.planned, args.seconds) for s in range(args.first, args.first + args.seeds)]
+    if args.regression:
+        seeds = regression_seeds()
+    failed = [s for s, planned, seconds in seeds if not run_seed(s, args, planned, seconds)]
+    print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     return 1 if failed else 0
 
 
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,62 @@
+"""The checks of the soak on histories with known violations."""
+
+import dataclasses
+import unittest
+
+import checks
+from callers import Request
+from checks import Fault
+
+ENTRY, OTHER = "127.0.0.14", "127.0.0.15"
+CUT = Request(ENTRY, "GET", "/j/a", 3.0, sent_at=10.0, ended_at=10.5)
+STOP = Fault("stop", ENTRY, began_at=9.0, ended_at=12.0, planned=True)
+
+
+class UnansweredRequests(unittest.TestCase):
+    def count(self, request, *faults):
+        return len(checks.unanswered_requests([request], list(faults)))
+
+    def test_request_cut_under_planned_stop(self):
+        self.assertEqual(self.count(CUT, STOP), 1)
+        self.assertEqual(self.count(dataclasses.replace(CUT, status=504), STOP), 0)
+
+    def test_request_that_may_not_have_been_read(self):
+        self.assertEqual(self.count(dataclasses.replace(CUT, ended_at=10.15), STOP), 0)
+
+    def test_unplanned_fault_within_contact_time(self):
+        self.assertEqual(self.count(CUT, STOP, Fault("kill", OTHER, 5.0, 7.5)), 0)
+        self.assertEqual(self.count(CUT, STOP, Fault("pause", OTHER, 10.2)), 0)
+        self.assertEqual(self.count(CUT, STOP, Fault("kill", OTHER, 5.0, 6.5)), 1)
+        self.assertEqual(self.count(CUT, STOP, Fault("kill", OTHER, 10.6)), 1)
+
+
+class LostJobs(unittest.TestCase):
+    def test_accepted_job_that_is_gone_or_shown_as_ended(self):
+        for status, body in [(410, "{}"), (200, '{"state":"failed"}'), (200, '{"state":"canceled"}')]:
+            asked = dataclasses.replace(CUT, status=status, body=body)
+            self.assertEqual(len(checks.lost_jobs([asked], {"a": 9.0})), 1)
+            self.assertEqual(checks.lost_jobs([asked], {"a": 11.0}), [])
+        self.assertEqual(checks.lost_jobs([dataclasses.replace(CUT, status=200, body='{"state":"pending"}')],
+                                          {"a": 9.0}), [])
+
+
+class IdleTasks(unittest.TestCase):
+    def count(self, runs, *faults):
+        return len(checks.idle_tasks({"a.0.0.0": runs}, {"a.0.0.0": 0.0}, list(faults), 30.0))
+
+    def test_task_that_is_never_started(self):
+        self.assertEqual(self.count([]), 1)
+
+    def test_task_that_is_not_started_again(self):
+        self.assertEqual(self.count([(1.0, 10.0), (12.5, 30.0)]), 0)
+        self.assertEqual(self.count([(1.0, 10.0), (13.5, 30.0)]), 1)
+
+    def test_fault_starts_a_new_calm_time(self):
+        self.assertEqual(self.count([(1.0, 10.0), (18.5, 30.0)], Fault("kill", OTHER, 9.5, 12.0)), 0)
+        self.assertEqual(self.count([(1.0, 10.0), (19.5, 30.0)], Fault("kill", OTHER, 9.5, 12.0)), 1)
+        self.assertEqual(self.count([(1.0, 10.0)], Fault("kill", OTHER, 9.5, 12.0), Fault("kill", OTHER, 18.0, 24.0)),
+                         0)
+
+
+if __name__ == "__main__":
+    unittest.main()
