--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -70,10 +70,10 @@
         fault.ended_at = now()
 
     def restart_at(self, *stops):
-        """Restarts several instances; each stop is (instance, seconds until it is stopped)."""
+        """Restarts several instances; each stop is (instance, seconds until it is stopped[, seconds down])."""
         threads = []
-        for instance, delay in stops:
-            down_seconds = self.rng.uniform(0.05, 1.5)
+        for instance, delay, *down in stops:
+            down_seconds = down[0] if down else self.rng.uniform(0.05, 1.5)
             threads.append(threading.Timer(delay, self.restart, (instance, down_seconds)))
             threads[-1].start()
         for t in threads:
@@ -90,8 +90,8 @@
         self.restart_at(*((e, self.rng.uniform(0.0, 1.0)) for e in self.entries))
 
     def stop_entry_then_schedulers(self):
-        """Stops the leader while entries drain, and at times a second scheduler too: calls then wait for their
-        deadlines, since the third has no majority."""
+        """Stops the leader while entries drain, and at times a second scheduler too: the third has no majority, so
+        that the entries answer their last calls themselves."""
         delays = [self.rng.uniform(0.0, 0.3) for _ in self.entries]
         entries = self.entries if self.rng.random() < 0.5 else [self.rng.choice(self.entries)]
         leader = self.leader()
@@ -99,7 +99,7 @@
             stops = [(leader, self.rng.uniform(1.8, 2.5))]
         else:
             other = self.rng.choice([s for s in self.schedulers if s is not leader])
-            stops = [(s, self.rng.uniform(0.8, 2.0)) for s in (leader, other)]
+            stops = [(s, self.rng.uniform(0.5, 1.2), self.rng.uniform(4.5, 6.0)) for s in (leader, other)]
         self.restart_at(*zip(entries, delays), *stops)
 
     def stop_schedulers_in_turn(self):
