Scheduler: a leader whose disk failed does not call a request unprocessed

Callers could have seen: 404 or 401 for a job that runs, if its leader's disk failed after it had proposed the job and the next leader has a document without the queue or key. Cause: the failed leader returned such calls as not processed, so that the entry forwarded them; the entry then takes a later refusal for the truth. Evidence: by reading; no test shows the refusal. The end-to-end cases of a leader whose disk fails pass before and after. Change: the failed leader sends no reply; the entry forwards the call when it knows the next leader, and keeps it as one that may have been processed.

--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -354,8 +354,8 @@
     {
         const auto reply = [this, from, number = m.call_id](wire::forwarded_reply&& r) {
             if (log->replica().halted()) {
-                // The call may have taken effect; its sender forwards it to the next leader.
-                r = {};
+                // The call may have taken effect. Its sender forwards it to the next leader.
+                return;
             }
             r.call_id = number;
             peers->send(from, r);
