Entry: a call that no leader processed is refused, not in doubt

Callers saw: 504 after most of their timeout for a call that its scheduler had returned as not processed, while no leader followed. Cause: the entry kept only that the call had been sent, not that it had come back. Change: the number of sends without a reply decides; with none the call gets 503 with Retry-After after the time of an election.

--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds default_caller_timeout{3000};
 /** Fraction of a caller's timeout after which it gets the error that the outcome is unknown. */
 constexpr double caller_timeout_share = 0.8;
-/** A call that was sent to no leader is refused after this: about the length of an election. */
+/** A call that no leader has received is refused after this: about the length of an election. */
 constexpr milliseconds no_leader_timeout{1500};
 /** Retry-After of a refused call: by then a leader should be elected. */
 constexpr std::int64_t no_leader_retry_ms = 1000;
@@ -64,9 +64,7 @@
         mono_time deadline{};
         /** Leader that it was sent to; empty: never sent, not processed, or connection lost. */
         instance_id sent_to;
-        /** It was sent to a leader, which may have acted on it. */
-        bool was_sent{false};
-        /** Number of times that it was sent without a reply. */
+        /** Number of times that it was sent without a reply: a leader may have acted on it. */
         std::uint32_t unanswered_sends{0};
     };
     std::map<std::uint64_t, open_call> open_calls;
@@ -159,7 +157,6 @@
         }
         if (peers->send(leader, c.call)) {
             c.sent_to = leader;
-            c.was_sent = true;
             ++c.unanswered_sends;
         }
     }
@@ -233,7 +230,8 @@
         const mono_time now = loop.now();
         std::erase_if(open_calls, [&](const auto& entry) {
             const open_call& c = entry.second;
-            const bool no_leader_in_time = !c.was_sent && now - c.received_at > no_leader_timeout;
+            const bool no_leader_in_time =
+                c.unanswered_sends == 0 && now - c.received_at > no_leader_timeout;
             if (!no_leader_in_time && now < c.deadline) {
                 return false;
             }
@@ -248,7 +246,7 @@
     /** Answers a call that no leader has answered. */
     void respond_with_error(const open_call& c)
     {
-        if (c.was_sent) {
+        if (c.unanswered_sends > 0) {
             respond(c, gateway_timeout, R"({"error":"outcome_unknown"})", 0);
         } else {
             respond(c, service_unavailable, R"({"error":"no_leader"})", no_leader_retry_ms);
--- a/tests/unit/entry_test.cpp
+++ b/tests/unit/entry_test.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint16_t readiness_port = 28812;
 constexpr int ok_status = 200;
 constexpr int not_found = 404;
+constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
 const std::string entry_address = "127.0.0.31";
@@ -197,3 +198,14 @@
     f.run_until([&] { return *status != 0; });
     CHECK(*status == not_found);
 }
+
+TEST_CASE("entry: a call that no leader processed is refused, not in doubt")
+{
+    entry_fixture f;
+    f.first.leads = false;
+    const auto status = f.post();
+    f.run_until([&] { return f.first.calls.size() == 1; });
+    f.change_leader("");
+    f.run_until([&] { return *status != 0; });
+    CHECK(*status == service_unavailable);
+}
