Soak: the exit status of worker_farm counts again

The soak that plays callers with open connections judged worker_farm by its output alone, so a farm that ended early would have passed (by reading; the old script was not run with such a farm).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -120,7 +120,7 @@
 
     def play(self):
         """Returns the violations."""
-        farm = None
+        farm, farm_violations = None, []
         try:
             for i in self.instances:
                 i.start()
@@ -133,7 +133,11 @@
             end_at = now()
             self.callers.stop()  # worker_farm runs on, since the accepted jobs must complete
             farm.send_signal(signal.SIGTERM)
-            farm.wait(90)
+            if farm.wait(90) != 0:
+                farm_violations.append(f"worker_farm exited with status {farm.returncode}")
+        except subprocess.TimeoutExpired:
+            farm_violations.append("worker_farm did not finish in time")
+            end_at = now()
         finally:
             if farm is not None and farm.poll() is None:
                 farm.kill()
@@ -141,7 +145,7 @@
             for i in self.instances:
                 i.kill()
                 i.log.close()
-        return self.violations(end_at)
+        return farm_violations + self.violations(end_at)
 
     def violations(self, end_at):
         output = self.farm_output.read_text()
