Run driver: a change of leader does not restart the wait for the leases of a server that ended

What callers saw: long-running tasks whose server was gone did not run again within the 9 s that the platform allows, with room for them.

Cause: a lease on runs is renewed by the leader of the moment, and until when it lasts was known to that leader only. Each new leader assumed that every lease had been renewed until it took over and waited for 6.2 s from its own start, also for servers that had ended long before. With a leader that changes more often than that, the wait never ended. The same held for a server's announcement of its end.

With three leaders in a row, before this change: driver: the task of a server that ended waits for one lease, however often the leader changes CHECK( leader.loop.now() - ended_at < 9s ) values: CHECK( 14294004869ns < 9s ) driver: a server's shutdown notice is not forgotten when the leader changes CHECK( leader.run_until([&] { return leader.task_is_waiting(); }, 1s) ) values: CHECK( false )

Change: when a server with runs stops answering or announces its end, the leader commits freeze_leases with the time that its leases still last. From the proposal on it renews none of them and starts nothing there; a later leader does neither until the log says that the leases are unfrozen, so the time holds for all leaders. Each instance counts it from when it applied the entry, which is later than the leader's own clock, so no lease can outlast it. Runs whose start got no answer are listed and wait as before.

--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -206,8 +206,40 @@
     }
 };
 
+/** Upper bound on the time until every lease on a server has expired. */
+struct lease_bound {
+    server_id server;
+    incarnation incarnation_id{0};
+    /** Counted from the time at which the command is applied, in milliseconds. */
+    std::int64_t remaining_ms{0};
+    /** The server announced its end: it executes no order after remaining_ms. */
+    bool ended{false};
+    /** Runs whose start got no answer, so that it may be executed later. */
+    std::vector<run_id> unanswered_starts;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(server, incarnation_id, remaining_ms, ended, unanswered_starts);
+    }
+};
+
+/** Freezes the leases of unreachable servers: until they are unfrozen, no leader renews them or
+ * starts runs on the server. The time at which they expire therefore stays valid when the leader
+ * changes. */
+struct freeze_leases {
+    std::vector<lease_bound> frozen;
+    std::vector<server_id> unfrozen;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(frozen, unfrozen);
+    }
+};
+
 using command = std::variant<no_operation, put_document, set_data_centre, submit_job, cancel_job,
                              start_occurrence, start_runs, end_runs, start_maintenance,
-                             step_maintenance, order_machine, remove_jobs>;
+                             step_maintenance, order_machine, remove_jobs, freeze_leases>;
 
 } // namespace fescue::jobs
--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -150,6 +150,8 @@
     std::map<job_id, job> jobs;
     std::map<std::string, maintenance_wave> waves;
     std::map<std::string, machine_order> machine_orders;
+    /** Servers with runs whose leases are frozen. */
+    std::map<server_id, lease_bound> frozen_leases;
 
     // Indexes derived from the fields above; not part of a snapshot.
     /** Jobs that have not ended or still have running tasks. */
@@ -171,9 +173,21 @@
     void rebuild_indexes();
 
     template <class Archive>
-    void serialize(Archive& archive)
+    void save(Archive& archive) const
+    {
+        archive(doc, out_of_service, jobs, waves, machine_orders);
+        // Versions without this field read snapshots that omit it, and write such snapshots.
+        if (!frozen_leases.empty()) {
+            archive(frozen_leases);
+        }
+    }
+    template <class Archive>
+    void load(Archive& archive)
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
+        if (archive.remaining() > 0) {
+            archive(frozen_leases);
+        }
     }
 };
 
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -45,6 +45,9 @@
     if (view.cordoned) {
         return "cordoned";
     }
+    if (!view.may_renew_lease()) {
+        return "leases_frozen";
+    }
     if (now < view.refused_until) {
         return "refused_a_start";
     }
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -25,11 +25,14 @@
     term_ = context_.fencing_token();
     pending_ends_ = {};
     const mono_time now = context_.now();
-    const mono_time inherited_expiry = inherited_lease_expiry(now);
+    earlier_leaders_leases_expire_at_ = inherited_lease_expiry(now);
     for (auto& [id, view] : servers_) {
         view.fenced = false;
         view.lease_end_ms = 0;
-        view.inherited_lease_expires_at = inherited_expiry;
+        view.inherited_lease_expires_at = earlier_leaders_leases_expire_at_;
+        view.lease_frozen = false;
+        view.freeze_pending = false;
+        view.end_recorded = false;
         view.acknowledged_end = 0;
         view.last_collected_end = 0;
         view.poll_in_flight = false;
@@ -43,16 +46,10 @@
     }
     run_locations_.clear();
     adopt_inherited_runs();
+    adopt_frozen_leases();
     tick();
 }
 
-mono_time run_driver::inherited_lease_expiry(mono_time now) const
-{
-    const auto max_lease_ms = static_cast<std::int64_t>(
-        static_cast<double>(effective_run_lease_ms(context_.settings.bounds)) / min_clock_rate);
-    return now + milliseconds{max_lease_ms} + inherited_lease_margin;
-}
-
 void run_driver::adopt_inherited_runs()
 {
     const mono_time now = context_.now();
@@ -61,7 +58,7 @@
         if (view.report.id.empty()) {
             view.report.id = id;
             view.last_report_at = now;
-            view.inherited_lease_expires_at = inherited_lease_expiry(now);
+            view.inherited_lease_expires_at = earlier_leaders_leases_expire_at_;
         }
         for (const task_id& task : tasks) {
             run_view run;
@@ -136,6 +133,7 @@
     view.fenced = false;
     view.misses = 0;
     view.has_shut_down = false;
+    view.end_recorded = false;
     view.cordoned = false;
     view.draining = false;
     view.refused_until = mono_time{};
@@ -191,6 +189,9 @@
 void run_driver::on_applied(const jobs::command& cmd)
 {
     const scope_timer timing{"carry_out"};
+    if (const auto* freeze = std::get_if<jobs::freeze_leases>(&cmd)) {
+        on_freeze_leases(*freeze);
+    }
     if (!leading_) {
         return;
     }
@@ -219,7 +220,7 @@
     run.started_while_draining = view.draining;
     run_view& added = add_run(view, task, run);
     if (view.report.incarnation_id != cmd.incarnation_id || view.has_shut_down ||
-        !context_.has_leader_lease()) {
+        !view.may_renew_lease() || !context_.has_leader_lease()) {
         propose_end(cmd.run, run_outcome::not_begun, "", "server_changed_before_the_order");
         return;
     }
@@ -278,6 +279,7 @@
     view.long_running_count -= run->long_running ? 1 : 0;
     view.latency_limited_count -= run->latency_limited ? 1 : 0;
     view.runs.erase(name.task);
+    view.lease_frozen = view.lease_frozen && !view.runs.empty();
     run_locations_.erase(at);
     return true;
 }
@@ -302,6 +304,7 @@
     }
     const mono_time now = context_.now();
     std::vector<server_id> expired;
+    jobs::freeze_leases freeze_changes;
     context_.order_relay.enable(busy_servers_ >= min_busy_servers_for_relays);
     busy_servers_ = 0;
     for (auto& [id, view] : servers_) {
@@ -318,6 +321,7 @@
             }
         }
         end_lost_runs(view);
+        collect_freeze_change(view, freeze_changes);
         if (view.runs.empty() && now - view.last_report_at > forget_after) {
             expired.push_back(id);
         }
@@ -330,19 +334,22 @@
     if (!pending_ends_.ends.empty()) {
         propose_ends(std::exchange(pending_ends_, {}));
     }
+    propose_freeze_changes(freeze_changes);
 }
 
 void run_driver::end_lost_runs(server_view& view)
 {
     const mono_time now = context_.now();
     const bool ended = view.has_shut_down && now >= view.next_poll;
-    const bool unresponsive = view.misses > 0 || view.report.address.empty();
-    if (view.runs.empty() || !(ended || (unresponsive && view.is_lease_expired(now)))) {
+    if (view.runs.empty() || !(ended || (view.unresponsive() && view.is_lease_expired(now)))) {
         return;
     }
     for (auto& [task, run] : view.runs) {
-        const bool start_may_arrive =
-            !ended && run.stage == run_stage::in_doubt && now - run.ordered_at < max_order_delay;
+        const bool own_start_may_arrive =
+            run.stage == run_stage::in_doubt && now - run.ordered_at < max_order_delay;
+        const bool earlier_start_may_arrive =
+            run.earlier_start_unanswered && now < earlier_leaders_leases_expire_at_;
+        const bool start_may_arrive = !ended && (own_start_may_arrive || earlier_start_may_arrive);
         if (!run.end_proposed && !start_may_arrive) {
             propose_end({task, run.attempt}, run_outcome::lost, "",
                         ended ? "server_ended" : "lease_over");
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -52,6 +52,8 @@
         return std::exchange(ended_servers_, {});
     }
     void on_applied(const jobs::command& cmd);
+    /** Called when the replicated state was replaced by a snapshot. */
+    void on_state_restored();
     void tick();
 
     /** Stops a task's current run. @param reason written to the process log. */
@@ -80,6 +82,12 @@
     bool remove_run(const jobs::run_id& name);
     std::pair<server_view*, run_view*> locate(const jobs::task_id& task);
     void adopt_inherited_runs();
+    void adopt_frozen_leases();
+    void on_freeze_leases(const jobs::freeze_leases& cmd);
+    /** Adds what the server's lease needs to @p changes: a freeze if the server does not answer or
+     * has ended, or the end of a freeze if it answers again. */
+    void collect_freeze_change(const server_view& view, jobs::freeze_leases& changes) const;
+    void propose_freeze_changes(const jobs::freeze_leases& changes);
     void on_begin_run(const jobs::start_run& cmd);
     void on_end_runs(const jobs::end_runs& cmd);
     void stop_job_runs(const jobs::job_id& job, const std::string& reason);
@@ -116,6 +124,10 @@
     std::unordered_map<jobs::task_id, server_id> run_locations_;
     jobs::end_runs pending_ends_;
     std::vector<wire::server_reports::ended> ended_servers_;
+    /** When the frozen leases of a server have expired. Kept by followers as well. */
+    std::map<server_id, mono_time> frozen_lease_expiry_;
+    /** By when every lease has expired that an earlier leader may have granted. */
+    mono_time earlier_leaders_leases_expire_at_{};
     bool leading_{false};
     term_number term_{0};
     std::size_t outstanding_orders_{0};
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -114,17 +114,6 @@
     return same ? &found->second : nullptr;
 }
 
-std::int64_t run_driver::renew_lease(server_view& view, mono_time now)
-{
-    const auto server_ms = view.clock.lower_bound(now);
-    if (!server_ms) {
-        return 0;
-    }
-    const std::int64_t end = *server_ms + effective_run_lease_ms(context_.settings.bounds);
-    view.lease_end_ms = std::max(view.lease_end_ms, end);
-    return view.lease_end_ms;
-}
-
 void run_driver::send_start(server_view& view, const task_id& task, run_view& run)
 {
     const mono_time now = context_.now();
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -34,7 +34,7 @@
     order.fencing_token = term_;
     order.acknowledged_end = view.acknowledged_end;
     // The lease of a server that does not answer is not renewed; otherwise it would never expire.
-    const bool renew = !view.runs.empty() && view.misses == 0;
+    const bool renew = !view.runs.empty() && view.misses == 0 && view.may_renew_lease();
     order.lease_end_ms = renew ? renew_lease(view, now) : 0;
     const bool long_poll =
         view.fenced && view.misses == 0 && !view.has_starting_task(now, startup_poll_window);
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -194,6 +194,7 @@
     {
         log::info("state_restored",
                   {{"applied", log->replica().applied()}, {"jobs", log->state().jobs.size()}});
+        runs->on_state_restored();
         task_dispatcher->request_round();
     }
 
@@ -206,7 +207,8 @@
             leading_term = replica.term();
             log::info("leading", {{"term", leading_term},
                                   {"jobs", log->state().active_jobs.size()},
-                                  {"servers_with_runs", log->state().runs.size()}});
+                                  {"servers_with_runs", log->state().runs.size()},
+                                  {"frozen_leases", log->state().frozen_leases.size()}});
             runs->on_leadership_gained();
             task_dispatcher->on_leadership_gained();
             machines->on_leadership_gained();
--- a/src/fleet/server_view.cpp
+++ b/src/fleet/server_view.cpp
@@ -47,6 +47,23 @@
            });
 }
 
+milliseconds server_view::remaining_lease(mono_time now) const noexcept
+{
+    const auto round_up = [](mono_clock::duration time) {
+        return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(time));
+    };
+    if (has_shut_down) {
+        return round_up(next_poll - now);
+    }
+    const milliseconds inherited = round_up(inherited_lease_expires_at - now);
+    const auto server_ms = clock.lower_bound(now);
+    if (lease_end_ms == 0 || !server_ms) {
+        return inherited;
+    }
+    const auto own_ms = static_cast<double>(lease_end_ms - *server_ms) / min_clock_rate;
+    return std::max(inherited, milliseconds{static_cast<std::int64_t>(std::max(0.0, own_ms)) + 1});
+}
+
 bool server_view::is_lease_expired(mono_time now) const noexcept
 {
     if (now < inherited_lease_expires_at) {
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -60,6 +60,8 @@
     mono_time ordered_at{};
     /** When the start timed out. Polls sent earlier do not show whether it was executed. */
     mono_time in_doubt_since{};
+    /** The start was sent by an earlier leader, which recorded that it got no answer. */
+    bool earlier_start_unanswered{false};
     /** Polls sent after this time list the run if it is or was on the server. */
     std::optional<mono_time> visible_from;
     /** Why the run is to be stopped; empty: no stop is requested. */
@@ -92,6 +94,14 @@
     std::int64_t lease_end_ms{0};
     /** When every lease granted by an earlier leader has expired. */
     mono_time inherited_lease_expires_at{};
+    /** The log records that the leases are frozen. */
+    bool lease_frozen{false};
+    /** This leader has proposed to freeze the leases; the command has not been applied. */
+    bool freeze_pending{false};
+    /** The latest such command states that the server has ended. */
+    bool end_recorded{false};
+    /** When the latest command that freezes or unfreezes the leases was proposed. */
+    mono_time freeze_proposed_at{};
     /** Number of the last end that is committed to the log; the server may drop those up to it. */
     std::uint64_t acknowledged_end{0};
     /** Number of the last end that was read from the server's list. */
@@ -123,10 +133,16 @@
     /** Drops the runs and the totals derived from them. */
     void clear_runs() noexcept;
     bool reachable() const noexcept { return misses == 0 && !has_shut_down; }
+    /** @return whether a lease may be granted or extended. */
+    bool may_renew_lease() const noexcept { return !lease_frozen && !freeze_pending; }
+    /** @return whether the last poll got no answer, or no poll can be sent. */
+    bool unresponsive() const noexcept { return misses > 0 || report.address.empty(); }
     /** @return whether a long-running task that started within the window is not at full work. */
     bool has_starting_task(mono_time now, milliseconds window) const noexcept;
     /** @return whether every lease on the server has certainly expired. */
     bool is_lease_expired(mono_time now) const noexcept;
+    /** @return time until every lease on the server has certainly expired. */
+    milliseconds remaining_lease(mono_time now) const noexcept;
     jobs::resources free() const noexcept { return report.capacity - used; }
 };
 
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -58,6 +58,7 @@
         server_runs->second.erase(id);
         if (server_runs->second.empty()) {
             s.runs.erase(server_runs);
+            s.frozen_leases.erase(t.server);
         }
     }
     s.in_use[j.account] -= j.spec.steps[id.step].need;
@@ -300,6 +301,19 @@
     return {std::nullopt, true};
 }
 
+outcome apply_command(state& s, const freeze_leases& cmd)
+{
+    for (const lease_bound& bound : cmd.frozen) {
+        if (s.runs.contains(bound.server)) {
+            s.frozen_leases[bound.server] = bound;
+        }
+    }
+    for (const server_id& server : cmd.unfrozen) {
+        s.frozen_leases.erase(server);
+    }
+    return {std::nullopt, true};
+}
+
 } // namespace
 
 bool occurrence::is_done() const noexcept
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -1,5 +1,8 @@
+#include "fescuestream/base/codec.h"
 #include "fescuestream/jobs/state.h"
 
+#include <cereal/types/set.hpp>
+
 #include <doctest/doctest.h>
 
 using namespace fescue;
@@ -338,6 +341,42 @@
     CHECK_FALSE(ok(machine::decode_state(machine::encode_state(s).substr(0, 40))));
 }
 
+TEST_CASE("jobs: frozen leases last until they are unfrozen or the server's last run ends")
+{
+    const task_id first{test_job_id, 0, 0, 0};
+    const task_id second{test_job_id, 0, 0, 1};
+    state s = state_with_job({make_step(2)});
+    apply(s, freeze_leases{{{server_a, 1, 500, false, {}}}, {}});
+    // A bound on a server without runs would apply to runs that start later.
+    CHECK(s.frozen_leases.empty());
+    begin_task(s, first, 1);
+    begin_task(s, second, 1);
+    apply(s, freeze_leases{{{server_a, 1, 500, true, {{first, 1}}}}, {}});
+    end_task(s, first, 1, run_outcome::lost);
+    REQUIRE(s.frozen_leases.contains(server_a));
+    const auto restored = machine::decode_state(machine::encode_state(s));
+    REQUIRE(ok(restored));
+    const lease_bound& bound = value(restored).frozen_leases.at(server_a);
+    CHECK(bound.remaining_ms == 500);
+    CHECK(bound.ended);
+    CHECK(bound.unanswered_starts == std::vector<run_id>{{first, 1}});
+    state unfrozen = s;
+    apply(unfrozen, freeze_leases{{}, {server_a}});
+    CHECK(unfrozen.frozen_leases.empty());
+    end_task(s, second, 1, run_outcome::lost);
+    CHECK(s.frozen_leases.empty());
+}
+
+TEST_CASE("jobs: a snapshot without frozen leases has the format of versions before them")
+{
+    state s = state_with_job({make_step(1)});
+    begin_task(s, {test_job_id, 0, 0, 0}, 1);
+    const std::string before = to_bytes(s.doc) + to_bytes(s.out_of_service) + to_bytes(s.jobs) +
+                               to_bytes(s.waves) + to_bytes(s.machine_orders);
+    CHECK(machine::encode_state(s) == before);
+    CHECK(ok(machine::decode_state(before)));
+}
+
 TEST_CASE("jobs: only ended jobs without running tasks can be removed")
 {
     state s = state_with_job({make_step(1)});
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -236,6 +236,89 @@
     CHECK(std::ranges::count_if(server.leases, [](std::int64_t l) { return l > 0; }) <= 1);
 }
 
+TEST_CASE("driver: the task of a server that ended waits for one lease, however often the leader "
+          "changes")
+{
+    single_leader leader;
+    auto server = std::make_unique<scripted_server>(leader.loop, base_port + 11);
+    leader.report(base_port + 11);
+    leader.begin();
+    REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+    server.reset();
+    const mono_time ended_at = leader.loop.now();
+    for (int changes = 0; changes < 3; ++changes) {
+        leader.run_for(2500ms);
+        leader.driver.on_leadership_lost();
+        leader.run_for(200ms);
+        leader.driver.on_leadership_gained();
+    }
+    REQUIRE(leader.run_until([&] { return leader.task_is_waiting(); }, 15s));
+    // The platform's bound on the time without a run, from the end of the last one.
+    CHECK(leader.loop.now() - ended_at < 9s);
+    CHECK(leader.ends[0].outcome == jobs::run_outcome::lost);
+}
+
+TEST_CASE("driver: the next leader does not renew a lease that the log records as frozen")
+{
+    single_leader leader;
+    scripted_server server{leader.loop, base_port + 12};
+    leader.report(base_port + 12);
+    leader.begin();
+    REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+    server.silent = true;
+    REQUIRE(
+        leader.run_until([&] { return leader.log.state().frozen_leases.contains(worker); }, 3s));
+    leader.driver.on_leadership_lost();
+    server.silent = false;
+    server.leases.clear();
+    leader.driver.on_leadership_gained();
+    // A renewal before the leases are unfrozen would outlast the recorded time.
+    const auto unfrozen = [&] { return leader.log.state().frozen_leases.empty(); };
+    REQUIRE(leader.run_until([&] { return unfrozen() || !server.leases.empty(); }, 3s));
+    REQUIRE_FALSE(server.leases.empty());
+    CHECK(server.leases[0] == 0);
+    CHECK(leader.run_until(unfrozen, 2s));
+    CHECK(leader.run_until([&] { return server.leases.back() > 0; }, 2s));
+    CHECK(leader.ends.empty());
+    CHECK(leader.driver.is_ready(task));
+}
+
+TEST_CASE("driver: a server's shutdown notice is not forgotten when the leader changes")
+{
+    single_leader leader;
+    auto server = std::make_unique<scripted_server>(leader.loop, base_port + 13);
+    leader.report(base_port + 13);
+    leader.begin();
+    REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+    leader.driver.on_shutdown_notice(worker);
+    server.reset();
+    leader.run_for(100ms);
+    leader.driver.on_leadership_lost();
+    leader.driver.on_server_ended({worker, 1});
+    CHECK(leader.ends.empty());
+    leader.driver.on_leadership_gained();
+    CHECK(leader.run_until([&] { return leader.task_is_waiting(); }, 1s));
+}
+
+TEST_CASE(
+    "driver: a recorded expiry does not end a run whose start an earlier leader left in doubt")
+{
+    single_leader leader;
+    scripted_server server{leader.loop, base_port + 14};
+    server.answers_starts = false;
+    leader.report(base_port + 14);
+    leader.begin();
+    REQUIRE(leader.run_until([&] { return !server.calls.empty(); }, 1s));
+    server.silent = true;
+    REQUIRE(
+        leader.run_until([&] { return leader.log.state().frozen_leases.contains(worker); }, 3s));
+    leader.driver.on_leadership_lost();
+    leader.run_for(4s); // The recorded time passes.
+    leader.driver.on_leadership_gained();
+    leader.run_for(3s);
+    CHECK(leader.ends.empty());
+}
+
 TEST_CASE("driver: a task that falls below full work is not ready")
 {
     single_leader leader;
