Run driver: a start on a server without a report ended the process

A start that commits after its server was forgotten makes a view without a report; the command that freezes its leases took the id from the report, and servers_.at("") threw. Found in review.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -321,7 +321,7 @@
             }
         }
         end_lost_runs(view);
-        collect_freeze_change(view, freeze_changes);
+        collect_freeze_change(id, view, freeze_changes);
         if (view.runs.empty() && now - view.last_report_at > forget_after) {
             expired.push_back(id);
         }
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -86,7 +86,8 @@
     void on_freeze_leases(const jobs::freeze_leases& cmd);
     /** Adds what the server's lease needs to @p changes: a freeze if the server does not answer or
      * has ended, or the end of a freeze if it answers again. */
-    void collect_freeze_change(const server_view& view, jobs::freeze_leases& changes) const;
+    void collect_freeze_change(const server_id& id, const server_view& view,
+                               jobs::freeze_leases& changes) const;
     void propose_freeze_changes(const jobs::freeze_leases& changes);
     void on_begin_run(const jobs::start_run& cmd);
     void on_end_runs(const jobs::end_runs& cmd);
--- a/src/fleet/run_leases.cpp
+++ b/src/fleet/run_leases.cpp
@@ -26,7 +26,8 @@
     return view.lease_end_ms;
 }
 
-void run_driver::collect_freeze_change(const server_view& view, jobs::freeze_leases& changes) const
+void run_driver::collect_freeze_change(const server_id& id, const server_view& view,
+                                       jobs::freeze_leases& changes) const
 {
     const mono_time now = context_.now();
     const bool runs_pending = std::ranges::any_of(
@@ -40,7 +41,7 @@
                                   ? !view.end_recorded
                                   : view.unresponsive() && !view.lease_frozen && !in_progress;
     if (needs_freeze) {
-        jobs::lease_bound bound{view.report.id,
+        jobs::lease_bound bound{id,
                                 view.report.incarnation_id,
                                 view.remaining_lease(now).count(),
                                 view.has_shut_down,
@@ -53,7 +54,7 @@
         }
         changes.frozen.push_back(std::move(bound));
     } else if (view.lease_frozen && !in_progress && view.reachable() && view.fenced) {
-        changes.unfrozen.push_back(view.report.id);
+        changes.unfrozen.push_back(id);
     }
 }
 
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -319,6 +319,14 @@
     CHECK(leader.ends.empty());
 }
 
+TEST_CASE("driver: a run on a server without a report does not end the process")
+{
+    single_leader leader;
+    leader.begin();
+    leader.run_for(100ms);
+    CHECK(leader.run_until([&] { return leader.task_is_waiting(); }, 1s));
+}
+
 TEST_CASE("driver: a task that falls below full work is not ready")
 {
     single_leader leader;
