Run driver: one lost poll let the lease of a working server expire

A lost poll freezes the server's leases, and they were not unfrozen for a second after that; the long polls in between renewed nothing. Found in review.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -32,6 +32,7 @@
         view.inherited_lease_expires_at = earlier_leaders_leases_expire_at_;
         view.lease_frozen = false;
         view.freeze_pending = false;
+        view.unfreeze_pending = false;
         view.end_recorded = false;
         view.acknowledged_end = 0;
         view.last_collected_end = 0;
--- a/src/fleet/run_leases.cpp
+++ b/src/fleet/run_leases.cpp
@@ -35,11 +35,8 @@
     if (!runs_pending) {
         return;
     }
-    const bool in_progress =
-        view.freeze_pending || now - view.freeze_proposed_at < freeze_retry_interval;
-    const bool needs_freeze = view.has_shut_down
-                                  ? !view.end_recorded
-                                  : view.unresponsive() && !view.lease_frozen && !in_progress;
+    const bool needs_freeze =
+        view.has_shut_down ? !view.end_recorded : view.unresponsive() && view.may_renew_lease();
     if (needs_freeze) {
         jobs::lease_bound bound{id,
                                 view.report.incarnation_id,
@@ -53,7 +50,7 @@
             }
         }
         changes.frozen.push_back(std::move(bound));
-    } else if (view.lease_frozen && !in_progress && view.reachable() && view.fenced) {
+    } else if (view.lease_frozen && !view.unfreeze_pending && view.reachable() && view.fenced) {
         changes.unfrozen.push_back(id);
     }
 }
@@ -64,12 +61,10 @@
         !context_.log.propose_here(changes)) {
         return;
     }
-    const mono_time now = context_.now();
     for (const jobs::lease_bound& bound : changes.frozen) {
         server_view& view = servers_.at(bound.server);
         view.freeze_pending = true;
         view.end_recorded = bound.ended;
-        view.freeze_proposed_at = now;
         log::info("leases_frozen", {{"server", bound.server.str()},
                                     {"life", bound.incarnation_id},
                                     {"runs", view.runs.size()},
@@ -77,7 +72,7 @@
                                     {"ended", bound.ended}});
     }
     for (const server_id& id : changes.unfrozen) {
-        servers_.at(id).freeze_proposed_at = now;
+        servers_.at(id).unfreeze_pending = true;
         log::info("leases_unfrozen", {{"server", id.str()}});
     }
 }
@@ -98,6 +93,9 @@
     for (const server_id& id : cmd.unfrozen) {
         if (const auto view = servers_.find(id); view != servers_.end()) {
             view->second.lease_frozen = false;
+            view->second.unfreeze_pending = false;
+            // Renews the lease at once: it has not been renewed since the server's last answer.
+            view->second.next_poll = std::min(view->second.next_poll, now);
         }
     }
     std::erase_if(frozen_lease_expiry_,
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -36,8 +36,8 @@
     // The lease of a server that does not answer is not renewed; otherwise it would never expire.
     const bool renew = !view.runs.empty() && view.misses == 0 && view.may_renew_lease();
     order.lease_end_ms = renew ? renew_lease(view, now) : 0;
-    const bool long_poll =
-        view.fenced && view.misses == 0 && !view.has_starting_task(now, startup_poll_window);
+    const bool long_poll = view.fenced && view.misses == 0 && view.may_renew_lease() &&
+                           !view.has_starting_task(now, startup_poll_window);
     order.wait_ms = long_poll ? max_poll_wait_ms : 0;
     view.poll_in_flight = true;
     context_.counters.count("looks");
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -44,8 +44,6 @@
 /** Allowance for leases that the previous leader renewed until it stepped down and its last orders
  * arrived. */
 inline constexpr milliseconds inherited_lease_margin{2500};
-/** Interval between two attempts to record that a server's leases are frozen, or are not. */
-inline constexpr milliseconds freeze_retry_interval{1000};
 /** Time without new runs for a server that has not accepted a start. */
 inline constexpr milliseconds refusal_backoff{400};
 /** Time allowed from a server's shutdown notice until its process has ended. */
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -100,8 +100,8 @@
     bool freeze_pending{false};
     /** The latest such command states that the server has ended. */
     bool end_recorded{false};
-    /** When the latest command that freezes or unfreezes the leases was proposed. */
-    mono_time freeze_proposed_at{};
+    /** This leader has proposed to unfreeze the leases; the command has not been applied. */
+    bool unfreeze_pending{false};
     /** Number of the last end that is committed to the log; the server may drop those up to it. */
     std::uint64_t acknowledged_end{0};
     /** Number of the last end that was read from the server's list. */
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -34,6 +34,8 @@
     }
 
     bool silent{false};
+    /** Number of polls to come that are neither executed nor answered. */
+    int polls_to_drop{0};
     bool answers_starts{true};
     /** Starts that get no answer are executed nevertheless. */
     bool executes_unanswered_starts{false};
@@ -45,11 +47,19 @@
     /** Percentage of full work that a run reports once started. */
     int percent{100};
 
+    /** @return whether the lease on the server's runs has expired, by the executed requests. */
+    bool lease_has_expired() const { return clock_ms() > lease_end_ms_; }
+
 private:
     void handle_request(http::exchange_id exchange, const http::request& request)
     {
         calls.push_back(request.path);
         const auto body = nlohmann::json::parse(request.body);
+        if (request.path == "/hold" && polls_to_drop > 0) {
+            --polls_to_drop;
+            return;
+        }
+        lease_end_ms_ = std::max(lease_end_ms_, body.value("deadline_ms", std::int64_t{0}));
         leases.push_back(body.value("deadline_ms", std::int64_t{0}));
         const bool is_start = request.path == "/run-start";
         if (is_start && (answers_starts || executes_unanswered_starts)) {
@@ -82,6 +92,7 @@
     }
 
     event_loop& loop_;
+    std::int64_t lease_end_ms_{0};
     timer_handle delayed_reply_;
     http::server server_;
 };
@@ -319,6 +330,21 @@
     CHECK(leader.ends.empty());
 }
 
+TEST_CASE("driver: one lost poll does not let the lease of a working server expire")
+{
+    single_leader leader;
+    scripted_server server{leader.loop, base_port + 15};
+    server.poll_delay = 700ms;
+    leader.report(base_port + 15);
+    leader.begin();
+    REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+    leader.run_for(1500ms);
+    REQUIRE_FALSE(server.lease_has_expired());
+    server.polls_to_drop = 1;
+    CHECK_FALSE(leader.run_until([&] { return server.lease_has_expired(); }, 6s));
+    CHECK(leader.ends.empty());
+}
+
 TEST_CASE("driver: a run on a server without a report does not end the process")
 {
     single_leader leader;
