A deeply nested JSON text from another machine ended the process

Callers saw: processes that end by themselves. A page token of the machine service nested 1,000,000 deep ended the leader, and a wave whose id is the text of such a value ended each process that ordered its maintenance, one leader after the other, since the wave is in the job log.

Cause: nlohmann's parser and destructor use the heap, but dump() and copies recurse, and no depth was bounded. A wave id was sent back as whatever JSON its text parses to.

Evidence, plain build, before: odd entries: a deeply nested page token ...: test case CRASHED: SIGSEGV odd entries: a deeply nested wave id ...: test case CRASHED: SIGSEGV

Change: parse_untrusted() refuses texts beyond 64 levels and is used for all texts of the platform. A page token is a text or a number, and only a wave id that is a number is sent back as one.

--- /dev/null
+++ b/include/fescuestream/json/untrusted.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/**
+ * @file
+ * Parses JSON texts from other machines: the nesting depth is bounded, and errors are values.
+ */
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace fescue::json {
+
+/** Largest nesting depth of a text that is parsed. Interfaces nest at most 6 levels; functions that
+ * visit a value recursively, such as dump(), use the stack in proportion to the depth. */
+inline constexpr std::size_t max_depth = 64;
+
+/** @return the parsed value, or nothing if the text is not valid JSON, contains a number that
+ * exceeds the range of a double, or nests deeper than max_depth. */
+std::optional<nlohmann::json> parse_untrusted(std::string_view text);
+
+} // namespace fescue::json
--- /dev/null
+++ b/tests/unit/odd_entries_test.cpp
@@ -0,0 +1,101 @@
+#include "control.h"
+#include "documents.h"
+#include "json_fields.h"
+#include "machines.h"
+#include "orders.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+
+using namespace fescue;
+using namespace fescue::platform;
+
+namespace {
+
+constexpr std::size_t deep = 1'000'000;
+constexpr const char* two_to_64_less_1 = "18446744073709551615";
+constexpr const char* two_to_63 = "9223372036854775808";
+constexpr const char* least_int64 = "-9223372036854775808";
+
+std::string nested_arrays(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+http::client_response response_with(std::string body)
+{
+    http::client_response out;
+    out.outcome = http::delivery::answered;
+    out.status = 200;
+    out.body = std::move(body);
+    return out;
+}
+
+/** A valid report in which the value of one field, given as JSON text, can be replaced. */
+std::string report_with(const std::string& field = "", const std::string& json_text = "")
+{
+    const std::array<std::pair<std::string, std::string>, 10> fields{
+        {{"service", R"("huvo11a")"},
+         {"address", R"("10.128.0.9:8080")"},
+         {"zone", R"("zona-sanjose")"},
+         {"state", R"("draining")"},
+         {"remaining_ms", "400"},
+         {"capacity", R"({"cpu":16000,"mem_mb":32768,"gpu":0})"},
+         {"labels", R"(["a","r1-3"])"},
+         {"wall_clock_ms", "482113"},
+         {"seq", "4"},
+         {"born", "1786000000000"}}};
+    std::string out;
+    for (const auto& [name, value] : fields) {
+        out += (out.empty() ? "{\"" : ",\"") + name + "\":" + (name == field ? json_text : value);
+    }
+    return out + "}";
+}
+
+bool takes_report(const std::string& body, const std::string& id = "i-7f3a91c2")
+{
+    return ok(parse_control_request("PUT", "/instances/" + id, body));
+}
+
+const std::string good_run = R"(["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,7])";
+const std::string good_machine =
+    R"({"machine":"m-1","pool":"p","state":"up","zone":"z","labels":["a","r1"],)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"id":"i-1"})";
+
+} // namespace
+
+TEST_CASE("odd entries: a deeply nested page token does not end the process")
+{
+    const auto page = parse_machine_page(
+        response_with(R"({"machines":[],"next_token":)" + nested_arrays(deep) + "}"));
+    CHECK_FALSE(ok(page));
+}
+
+TEST_CASE("odd entries: a deeply nested wave id does not end the process")
+{
+    const auto request =
+        make_maintenance_request("127.0.0.1:1", "m-1", nested_arrays(deep), {"core-1", 1});
+    CHECK(request.body.find("\"rollout_batch\":\"[[") != std::string::npos);
+}
+
+TEST_CASE("odd entries: deeply nested bodies are refused")
+{
+    constexpr std::size_t allowed_depth = 64;
+    const std::string nested = nested_arrays(deep);
+    CHECK_FALSE(parse_json(nested));
+    CHECK_FALSE(parse_json(std::string(deep, '[')));
+    CHECK_FALSE(parse_json(R"({"a":)" + nested + "}"));
+    CHECK_FALSE(takes_report(nested));
+    CHECK_FALSE(takes_report(report_with("labels", nested)));
+    CHECK_FALSE(ok(parse_control_request("PUT", "/config", nested)));
+    CHECK_FALSE(ok(parse_control_request("POST", "/wave-start", nested)));
+    CHECK_FALSE(ok(parse_job(nested)));
+    CHECK_FALSE(ok(parse_poll_reply(response_with(nested))));
+    CHECK(parse_order_reply(response_with(nested)).result == fleet::order_result::accepted);
+    CHECK(parse_machine_reply(response_with(nested)) == fleet::machine_result::accepted);
+    CHECK(parse_json(nested_arrays(allowed_depth)));
+    CHECK_FALSE(parse_json(nested_arrays(allowed_depth + 1)));
+    CHECK(parse_json(R"(["[[[\"[[[", "\\"])"));
+}
