An unsigned number above 2^63 in a request turned negative

Callers saw: a number of 2^64 - 1 taken as -1, for example as a clock, a version or a capacity.

Cause: json_fields::number() converted every integer to 64 bits signed without a check.

Change: such a number is an error of the field.

--- a/include/fescuestream/json/untrusted.h
+++ b/include/fescuestream/json/untrusted.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -21,4 +22,7 @@
  * exceeds the range of a double, or nests deeper than max_depth. */
 std::optional<nlohmann::json> parse_untrusted(std::string_view text);
 
+/** @return the value of an integer, or nothing if it is no integer or exceeds 64 bits signed. */
+std::optional<std::int64_t> to_int64(const nlohmann::json& number);
+
 } // namespace fescue::json
--- a/src/json/untrusted.cpp
+++ b/src/json/untrusted.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/json/untrusted.h"
 
+#include <limits>
+
 namespace fescue::json {
 
 namespace {
@@ -60,4 +62,12 @@
     return parsed;
 }
 
+std::optional<std::int64_t> to_int64(const nlohmann::json& number)
+{
+    constexpr std::uint64_t max = std::numeric_limits<std::int64_t>::max();
+    const bool in_range = number.is_number_integer() &&
+                          (!number.is_number_unsigned() || number.get<std::uint64_t>() <= max);
+    return in_range ? std::optional{number.get<std::int64_t>()} : std::nullopt;
+}
+
 } // namespace fescue::json
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -99,3 +99,12 @@
     CHECK_FALSE(parse_json(nested_arrays(allowed_depth + 1)));
     CHECK(parse_json(R"(["[[[\"[[[", "\\"])"));
 }
+
+TEST_CASE("odd entries: an unsigned number above 2^63 does not turn negative")
+{
+    CHECK_FALSE(takes_report(report_with("wall_clock_ms", two_to_63)));
+    const json_value object{{"n", 9223372036854775808ULL}};
+    json_fields fields{object, ""};
+    CHECK(fields.number("n") == 0);
+    CHECK(fields.failed());
+}
