A server's report with values out of range was taken

Callers saw: PUT /instances/ID answered 200 with a capacity of 2^64 - 1, -5 or -2^63 and a start time of 2^64 - 1 or -1, and such a server took part in sums and placement. A report with the last start time under a known id made every later report of that server count as stale. An id with CR and LF was sent in a header field of orders.

Cause: fields were converted without a check of their range; ids and names were not checked; inet_pton() ignores what follows a NUL in an address.

Evidence, before: CHECK_FALSE( takes_report( report_with("capacity", ...) ) ) is NOT correct! CHECK_FALSE( takes_report(report_with(), id) ) is NOT correct!

Change: check_report() states what a report may contain. The bound on a capacity, 10^9 of each resource, keeps sums over servers within 64 bits. Such a report is refused with 400 and changes nothing.

--- a/include/fescuestream/json/untrusted.h
+++ b/include/fescuestream/json/untrusted.h
@@ -25,4 +25,7 @@
 /** @return the value of an integer, or nothing if it is no integer or exceeds 64 bits signed. */
 std::optional<std::int64_t> to_int64(const nlohmann::json& number);
 
+/** @return whether the text is valid UTF-8; dump() throws if a string is not. */
+bool is_utf8(std::string_view text) noexcept;
+
 } // namespace fescue::json
--- /dev/null
+++ b/src/fleet/validation.cpp
@@ -0,0 +1,79 @@
+#include "validation.h"
+
+#include "fescuestream/json/untrusted.h"
+
+#include <algorithm>
+
+namespace fescue::fleet {
+
+namespace {
+
+status invalid(const char* what)
+{
+    return error{error_kind::bad_request, what};
+}
+
+bool is_valid_name(std::string_view text) noexcept
+{
+    const auto is_control = [](unsigned char c) { return c < 0x20 || c == 0x7f; };
+    return text.size() <= max_name_bytes && std::ranges::none_of(text, is_control) &&
+           json::is_utf8(text);
+}
+
+bool is_valid_amount(std::int64_t amount) noexcept
+{
+    return amount >= 0 && amount <= max_resource_amount;
+}
+
+bool is_valid_capacity(const jobs::resources& capacity) noexcept
+{
+    return is_valid_amount(capacity.cpu_milli) && is_valid_amount(capacity.memory_mb) &&
+           is_valid_amount(capacity.accelerators);
+}
+
+bool is_valid_clock(std::int64_t clock_ms) noexcept
+{
+    return clock_ms >= -max_time_ms && clock_ms <= max_time_ms;
+}
+
+bool is_valid_incarnation(incarnation id) noexcept
+{
+    return id <= static_cast<incarnation>(max_time_ms);
+}
+
+} // namespace
+
+bool is_valid_id(std::string_view text) noexcept
+{
+    const auto is_printable = [](char c) { return c > ' ' && c <= '~'; };
+    return !text.empty() && text.size() <= max_id_bytes && std::ranges::all_of(text, is_printable);
+}
+
+status check_report(const jobs::server_report& report)
+{
+    if (!is_valid_id(report.id.str())) {
+        return invalid("the server's id is not 1 to 128 printable ASCII characters");
+    }
+    if (!ok(http::parse_endpoint(report.address))) {
+        return invalid("address must be IP:PORT");
+    }
+    const bool names_ok = is_valid_name(report.pool.str()) &&
+                          is_valid_name(report.data_centre.str()) &&
+                          is_valid_name(report.rack.str()) && report.labels.size() <= max_labels &&
+                          std::ranges::all_of(report.labels, is_valid_name);
+    if (!names_ok) {
+        return invalid("a name or a label is too long or contains control characters");
+    }
+    if (!is_valid_capacity(report.capacity)) {
+        return invalid("capacity is out of range");
+    }
+    if (!is_valid_incarnation(report.incarnation_id)) {
+        return invalid("the start time is out of range");
+    }
+    if (report.remaining_ms < 0 || report.remaining_ms > max_duration_ms) {
+        return invalid("the remaining time is out of range");
+    }
+    return is_valid_clock(report.clock_ms) ? std::nullopt : invalid("the clock is out of range");
+}
+
+} // namespace fescue::fleet
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -68,7 +68,9 @@
     const char* last = text.data() + text.size();
     const auto [end, parse_error] = std::from_chars(first, last, out.port);
     const bool port_ok = parse_error == std::errc{} && end == last && out.port != 0;
-    if (inet_pton(AF_INET, out.ip.c_str(), &parsed) != 1 || !port_ok) {
+    // inet_pton() reads up to the first NUL.
+    const bool has_nul = out.ip.find('\0') != std::string::npos;
+    if (has_nul || inet_pton(AF_INET, out.ip.c_str(), &parsed) != 1 || !port_ok) {
         return error{error_kind::bad_request, "'" + text + "' is not IP:PORT"};
     }
     return out;
--- a/src/json/untrusted.cpp
+++ b/src/json/untrusted.cpp
@@ -1,5 +1,6 @@
 #include "fescuestream/json/untrusted.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace fescue::json {
@@ -70,4 +71,30 @@
     return in_range ? std::optional{number.get<std::int64_t>()} : std::nullopt;
 }
 
+bool is_utf8(std::string_view text) noexcept
+{
+    const auto is_continuation = [](char c) { return (static_cast<unsigned char>(c) >> 6U) == 2; };
+    for (std::size_t i = 0; i < text.size();) {
+        const auto lead = static_cast<unsigned char>(text[i]);
+        const std::size_t size = lead < 0x80   ? 1
+                                 : lead < 0xc2 ? 0
+                                 : lead < 0xe0 ? 2
+                                 : lead < 0xf0 ? 3
+                                 : lead < 0xf5 ? 4
+                                               : 0;
+        if (size == 0 || text.size() - i < size ||
+            !std::ranges::all_of(text.substr(i + 1, size - 1), is_continuation)) {
+            return false;
+        }
+        // Overlong encodings, surrogates and code points above U+10FFFF differ in the second byte.
+        const auto second = size > 2 ? static_cast<unsigned char>(text[i + 1]) : 0U;
+        if ((lead == 0xe0 && second < 0xa0) || (lead == 0xed && second > 0x9f) ||
+            (lead == 0xf0 && second < 0x90) || (lead == 0xf4 && second > 0x8f)) {
+            return false;
+        }
+        i += size;
+    }
+    return true;
+}
+
 } // namespace fescue::json
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -108,3 +108,87 @@
     CHECK(fields.number("n") == 0);
     CHECK(fields.failed());
 }
+
+TEST_CASE("odd entries: a report with a number out of range is refused")
+{
+    REQUIRE(takes_report(report_with()));
+    CHECK(takes_report(report_with("capacity", R"({"cpu":0,"mem_mb":0})")));
+    CHECK(takes_report(report_with("capacity", R"({"cpu":1000000000,"mem_mb":1000000000})")));
+    for (const char* amount : {two_to_64_less_1, two_to_63, least_int64, "-5", "1000000001",
+                               "1e400", "1.5", "\"4\"", "true", "[]"}) {
+        CAPTURE(std::string{amount});
+        for (const char* name : {"cpu", "mem_mb", "gpu"}) {
+            CHECK_FALSE(takes_report(
+                report_with("capacity", "{\"" + std::string{name} + "\":" + amount + "}")));
+        }
+    }
+    for (const char* number : {two_to_64_less_1, two_to_63, least_int64, "1e400", "1.5", "\"4\"",
+                               "NaN", "true", "[]", "{}"}) {
+        CAPTURE(std::string{number});
+        for (const char* name : {"born", "seq", "wall_clock_ms", "remaining_ms"}) {
+            CHECK_FALSE(takes_report(report_with(name, number)));
+        }
+    }
+    for (const char* number : {"-1", "253402300800000"}) {
+        CHECK_FALSE(takes_report(report_with("born", number)));
+        CHECK_FALSE(takes_report(report_with("remaining_ms", number)));
+    }
+    CHECK_FALSE(takes_report(report_with("seq", "-1")));
+    CHECK_FALSE(takes_report(report_with("wall_clock_ms", "253402300800000")));
+}
+
+TEST_CASE("odd entries: a report with an unusable address is refused")
+{
+    CHECK(takes_report(report_with("address", R"("10.0.0.1:65535")")));
+    for (const char* address :
+         {R"("10.0.0.1:65536")", R"("10.0.0.1:0")", R"("10.0.0.1:-1")", R"("10.0.0.1:99999999999")",
+          R"("10.0.0.1:80x")", R"("10.0.0.1:")", R"("10.0.0.1")", R"("server.example:80")",
+          R"("[::1]:80")", R"("10.0.0.1\u0000.example:80")", R"("10.0.0.256:80")", R"("")", "null",
+          "8080", R"(["10.0.0.1:80"])"}) {
+        CAPTURE(std::string{address});
+        CHECK_FALSE(takes_report(report_with("address", address)));
+    }
+}
+
+TEST_CASE("odd entries: a report whose names can't be used is refused")
+{
+    CHECK(takes_report(report_with(), std::string(128, 'i')));
+    for (const std::string& id :
+         {std::string(), std::string(129, 'i'), std::string("i-1\r\nKey: k"), std::string("i 1"),
+          std::string("i-\x01"), std::string("i-\xff"), std::string("i-\0", 3)}) {
+        CAPTURE(id);
+        CHECK_FALSE(takes_report(report_with(), id));
+    }
+    const std::string long_text = '"' + std::string(4U << 20U, 'x') + '"';
+    for (const char* name : {"service", "zone", "state"}) {
+        CHECK_FALSE(takes_report(report_with(name, long_text)));
+        CHECK_FALSE(takes_report(report_with(name, R"("a\nb")")));
+        CHECK_FALSE(takes_report(report_with(name, "\"\xc3\x28\"")));
+        CHECK_FALSE(takes_report(report_with(name, "7")));
+        CHECK_FALSE(takes_report(report_with(name, R"("")")));
+    }
+    for (const std::string& labels :
+         {std::string{R"(["a",7])"}, std::string{R"({"a":"b"})"}, std::string{R"("a")"},
+          std::string{R"(["a","r\u0000"])"}, "[" + long_text + "]"}) {
+        CHECK_FALSE(takes_report(report_with("labels", labels)));
+    }
+    std::string many = R"(["a")";
+    for (int i = 0; i < 100'000; ++i) {
+        many += R"(,"b")";
+    }
+    CHECK_FALSE(takes_report(report_with("labels", many + "]")));
+}
+
+TEST_CASE("odd entries: bytes that are no JSON object are refused")
+{
+    for (const std::string& body :
+         {std::string{}, std::string{"null"}, std::string{"[]"}, std::string{"7"}, std::string{"{"},
+          std::string("\0\0", 2), std::string{"\xff\xfe{}"}, report_with() + "}",
+          report_with().substr(0, 40)}) {
+        CHECK_FALSE(takes_report(body));
+    }
+    // RFC 8259 leaves the meaning of duplicate names open; the last one counts.
+    const std::string body = report_with();
+    CHECK(takes_report(R"({"seq":-1,)" + body.substr(1)));
+    CHECK_FALSE(takes_report(body.substr(0, body.size() - 1) + R"(,"seq":-1})"));
+}
