A report that one scheduler refuses was taken from another one

Callers saw: nothing yet.

Cause: reports from other schedulers were only decoded.

Change: they are held to check_report() like those of the servers themselves, and the age is bounded. The test covers the check on decoded reports; it is new with the function, so it has no run on the code before.

--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -8,6 +8,7 @@
 #include "peer_links.h"
 #include "run_driver.h"
 #include "scheduler_group.h"
+#include "validation.h"
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
@@ -334,16 +335,18 @@
     }
     void handle(const instance_id& from, const wire::propose_request& m) { log->received(from, m); }
     void handle(const instance_id& from, const wire::propose_reply& m) { log->received(from, m); }
-    void handle(const instance_id& /*from*/, const wire::server_reports& m)
+    void handle(const instance_id& from, const wire::server_reports& m)
     {
         for (const auto& shared_report : m.reports) {
             const auto report = from_bytes<jobs::server_report>(shared_report.bytes);
-            if (!ok(report)) {
-                log::warning("report_unreadable", {{"why", error_of(report).detail}});
+            const fescue::status fault =
+                ok(report) ? check_report(value(report)) : error_of(report);
+            if (fault) {
+                log::warning("report_unreadable", {{"from", from.str()}, {"why", fault->detail}});
                 continue;
             }
-            runs->on_report(value(report),
-                            milliseconds{std::max<std::int64_t>(0, shared_report.age_ms)});
+            runs->on_report(value(report), milliseconds{std::clamp<std::int64_t>(
+                                               shared_report.age_ms, 0, max_duration_ms)});
         }
         for (const auto& server : m.gone) {
             runs->on_server_ended(server);
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -1,5 +1,6 @@
 #include "control.h"
 #include "documents.h"
+#include "fleet/validation.h"
 #include "json_fields.h"
 #include "machines.h"
 #include "orders.h"
@@ -192,3 +193,30 @@
     CHECK(takes_report(R"({"seq":-1,)" + body.substr(1)));
     CHECK_FALSE(takes_report(body.substr(0, body.size() - 1) + R"(,"seq":-1})"));
 }
+
+TEST_CASE("odd entries: a report from another scheduler is held to the checks of the server's own")
+{
+    const auto parsed = parse_control_request("PUT", "/instances/i-1", report_with());
+    REQUIRE(ok(parsed));
+    const auto good = std::get<jobs::server_report>(value(parsed));
+    CHECK_FALSE(fleet::check_report(good));
+    const auto refuses = [&](auto change) {
+        jobs::server_report odd = good;
+        change(odd);
+        const auto decoded = from_bytes<jobs::server_report>(to_bytes(odd));
+        return ok(decoded) && fleet::check_report(value(decoded));
+    };
+    using report = jobs::server_report;
+    CHECK(refuses([](report& r) { r.id = server_id{"i-1\r\nKey: k"}; }));
+    CHECK(refuses([](report& r) { r.id = server_id{}; }));
+    CHECK(refuses([](report& r) { r.address = "10.0.0.1:65536"; }));
+    CHECK(refuses([](report& r) { r.address = ""; }));
+    CHECK(refuses([](report& r) { r.capacity.cpu_milli = -1; }));
+    CHECK(refuses([](report& r) { r.capacity.memory_mb = INT64_MAX; }));
+    CHECK(refuses([](report& r) { r.capacity.accelerators = INT64_MIN; }));
+    CHECK(refuses([](report& r) { r.incarnation_id = UINT64_MAX; }));
+    CHECK(refuses([](report& r) { r.clock_ms = INT64_MAX; }));
+    CHECK(refuses([](report& r) { r.remaining_ms = -1; }));
+    CHECK(refuses([](report& r) { r.pool = pool_id{"\xff"}; }));
+    CHECK(refuses([](report& r) { r.labels.assign(65, "a"); }));
+}
