One unreadable machine stopped the reading of the whole list

Callers saw: one odd entry in the machine service's list, for example a number of 1e400, a type other than expected or a deep nesting, and the list was read again for ever; pools were not balanced and waves did not proceed.

Cause: the page was parsed as one text and failed as a whole.

Change: if the page is not readable as a whole, its entries are parsed one by one. An entry that can't be read is left out, logged and counted. If it names its machine, the machine does not count as gone, since its maintenance would be ordered without a drain. An unreadable page token still fails the page: the rest of the list would seem missing.

--- a/include/fescuestream/json/untrusted.h
+++ b/include/fescuestream/json/untrusted.h
@@ -22,6 +22,15 @@
  * exceeds the range of a double, or nests deeper than max_depth. */
 std::optional<nlohmann::json> parse_untrusted(std::string_view text);
 
+/**
+ * Parses an object whose arrays list entries of several writers, so that one entry that
+ * parse_untrusted() refuses costs only itself.
+ * @return the object, in which each unreadable member, and each unreadable element of an array that
+ * is a member, has the type discarded; nothing if the text is not an object or its brackets do not
+ * match.
+ */
+std::optional<nlohmann::json> parse_untrusted_lists(std::string_view text);
+
 /** @return the value of an integer, or nothing if it is no integer or exceeds 64 bits signed. */
 std::optional<std::int64_t> to_int64(const nlohmann::json& number);
 
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -114,6 +114,7 @@
         list_read_in_flight_ = true;
         list_read_started_ = now;
         page_machines_.clear();
+        unreadable_machines_.clear();
         next_page_ = "";
     }
     if (next_page_ && read_budget_.try_acquire(now)) {
@@ -145,6 +146,7 @@
     for (const machine_entry& m : value(page).machines) {
         page_machines_[m.id] = m;
     }
+    record_unreadable(value(page).unreadable);
     if (!value(page).next.empty()) {
         next_page_ = value(page).next;
         read_list_if_due();
@@ -169,12 +171,29 @@
     log::info("machine_list", {{"machines", machines_.size()}});
 }
 
+void machine_driver::record_unreadable(const std::vector<unreadable_machine>& entries)
+{
+    for (const unreadable_machine& m : entries) {
+        context_.counters.count("machine_entries_unreadable");
+        if (!m.id.empty()) {
+            unreadable_machines_.insert(m.id);
+        }
+        log::warning("machine_entry_unreadable", {{"machine", m.id}, {"why", m.why}});
+    }
+}
+
 void machine_driver::count_missed_lists()
 {
     std::map<std::string, std::size_t> missed_lists;
     for (const auto& [id, wave] : context_.state().waves) {
         for (const auto& [machine, m] : wave.machines) {
-            if (!m.done && !machines_.contains(machine)) {
+            if (m.done || machines_.contains(machine)) {
+                continue;
+            }
+            // An unreadable entry shows that the machine exists.
+            if (unreadable_machines_.contains(machine)) {
+                list_refresh_needed_ = true;
+            } else {
                 const std::size_t lists = missed_lists_[machine] + 1;
                 missed_lists[machine] = lists;
                 list_refresh_needed_ = list_refresh_needed_ || lists < missed_lists_before_gone;
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
     void on_page_reply(const result<machine_page>& page);
     const machine_entry* find_entry(const std::string& machine) const;
     /** Counts the consecutive lists that miss a machine of an open wave. */
+    void record_unreadable(const std::vector<unreadable_machine>& entries);
     void count_missed_lists();
     /** @return whether the machine is missing from enough consecutive lists to count as gone. */
     bool is_unlisted(const std::string& machine) const;
@@ -93,6 +95,8 @@
     std::map<std::string, cordoned_machine> cordoned_;
     /** Consecutive lists that missed each machine of an open wave. */
     std::map<std::string, std::size_t> missed_lists_;
+    /** Machines of the list whose entries can't be read. */
+    std::set<std::string> unreadable_machines_;
     /** Term of the newest logged order for a machine, and the latest time at which it may have been
      * sent. A machine without an entry was never ordered. */
     struct recorded_order {
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -192,8 +192,15 @@
     server_id server;
 };
 
+struct unreadable_machine {
+    /** Empty if the entry names no machine. */
+    std::string id;
+    std::string why;
+};
+
 struct machine_page {
     std::vector<machine_entry> machines;
+    std::vector<unreadable_machine> unreadable;
     /** Token of the next page; empty: this is the last one. */
     std::string next;
 };
--- a/src/fleet/validation.cpp
+++ b/src/fleet/validation.cpp
@@ -76,4 +76,16 @@
     return is_valid_clock(report.clock_ms) ? std::nullopt : invalid("the clock is out of range");
 }
 
+status check_machine(const machine_entry& machine)
+{
+    const bool server_ok = machine.server.empty() || is_valid_id(machine.server.str());
+    const bool names_ok =
+        is_valid_id(machine.id) && server_ok && is_valid_name(machine.pool.str()) &&
+        is_valid_name(machine.data_centre.str()) && is_valid_name(machine.rack.str());
+    if (!names_ok) {
+        return invalid("an id or a name is too long or contains control characters");
+    }
+    return is_valid_capacity(machine.capacity) ? std::nullopt : invalid("capacity is out of range");
+}
+
 } // namespace fescue::fleet
--- a/src/fleet/validation.h
+++ b/src/fleet/validation.h
@@ -29,7 +29,8 @@
  * sent in header fields. */
 bool is_valid_id(std::string_view text) noexcept;
 
-/** Fails with error_kind::bad_request if the report can't be acted on. */
+/** Each check fails with error_kind::bad_request if the value can't be acted on. */
 status check_report(const jobs::server_report& report);
+status check_machine(const machine_entry& machine);
 
 } // namespace fescue::fleet
--- a/src/json/untrusted.cpp
+++ b/src/json/untrusted.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <limits>
+#include <vector>
 
 namespace fescue::json {
 
 namespace {
 
+constexpr std::string_view white_space = " \t\r\n";
+
 /** Tracks the position in a JSON text: inside a string, or at a nesting depth. */
 class structure_scanner {
 public:
@@ -30,6 +33,8 @@
         return true;
     }
     std::size_t depth() const noexcept { return depth_; }
+    /** @return whether the position is outside of all strings, objects and arrays. */
+    bool at_top() const noexcept { return depth_ == 0 && !in_string_; }
 
 private:
     bool in_string_{false};
@@ -48,6 +53,69 @@
     return false;
 }
 
+std::string_view trim(std::string_view text) noexcept
+{
+    const std::size_t first = text.find_first_not_of(white_space);
+    return first == std::string_view::npos
+               ? std::string_view{}
+               : text.substr(first, text.find_last_not_of(white_space) - first + 1);
+}
+
+/** Splits the text at the separator characters that are outside of strings, objects and arrays.
+ * @return nothing if quotes or brackets do not match. */
+std::optional<std::vector<std::string_view>> split(std::string_view text, char separator)
+{
+    std::vector<std::string_view> out;
+    structure_scanner scanner;
+    std::size_t begin = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (!scanner.advance(text[i])) {
+            return std::nullopt;
+        }
+        if (text[i] == separator && scanner.at_top()) {
+            out.push_back(text.substr(begin, i - begin));
+            begin = i + 1;
+        }
+    }
+    if (!scanner.at_top()) {
+        return std::nullopt;
+    }
+    out.push_back(text.substr(begin));
+    return out;
+}
+
+/** @return the members of an object or the elements of an array, or nothing if the text is not
+ * enclosed in these brackets. */
+std::optional<std::vector<std::string_view>> split_members(std::string_view text, char open,
+                                                           char close)
+{
+    text = trim(text);
+    if (text.size() < 2 || text.front() != open || text.back() != close) {
+        return std::nullopt;
+    }
+    const std::string_view content = trim(text.substr(1, text.size() - 2));
+    return content.empty() ? std::vector<std::string_view>{} : split(content, ',');
+}
+
+nlohmann::json parse_or_discard(std::string_view text)
+{
+    auto parsed = parse_untrusted(text);
+    return parsed ? std::move(*parsed) : nlohmann::json(nlohmann::json::value_t::discarded);
+}
+
+nlohmann::json parse_member(std::string_view text)
+{
+    const auto elements = split_members(text, '[', ']');
+    if (!elements) {
+        return parse_or_discard(text);
+    }
+    auto out = nlohmann::json::array();
+    for (const std::string_view element : *elements) {
+        out.push_back(parse_or_discard(element));
+    }
+    return out;
+}
+
 } // namespace
 
 std::optional<nlohmann::json> parse_untrusted(std::string_view text)
@@ -63,6 +131,34 @@
     return parsed;
 }
 
+std::optional<nlohmann::json> parse_untrusted_lists(std::string_view text)
+{
+    if (auto whole = parse_untrusted(text)) {
+        if (!whole->is_object()) {
+            return std::nullopt;
+        }
+        return whole;
+    }
+    const auto members = split_members(text, '{', '}');
+    if (!members) {
+        return std::nullopt;
+    }
+    auto out = nlohmann::json::object();
+    for (const std::string_view member : *members) {
+        const std::size_t name_end = member.find('"', member.find('"') + 1);
+        const std::size_t colon = member.find(':', name_end);
+        if (name_end == std::string_view::npos || colon == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const auto name = parse_untrusted(member.substr(0, colon));
+        if (!name || !name->is_string()) {
+            return std::nullopt;
+        }
+        out[name->get<std::string>()] = parse_member(member.substr(colon + 1));
+    }
+    return out;
+}
+
 std::optional<std::int64_t> to_int64(const nlohmann::json& number)
 {
     constexpr std::uint64_t max = std::numeric_limits<std::int64_t>::max();
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -194,6 +194,35 @@
     CHECK_FALSE(takes_report(body.substr(0, body.size() - 1) + R"(,"seq":-1})"));
 }
 
+TEST_CASE("odd entries: a machine that can't be read costs that machine alone")
+{
+    const std::string with_capacity = R"({"machine":"m-2","pool":"p","state":"up","capacity":)";
+    for (const std::string& odd :
+         {std::string{"7"}, std::string{"null"}, std::string{"[]"}, std::string{"{}"},
+          std::string{R"({"machine":7})"}, std::string{R"({"machine":"m-2","labels":{}})"},
+          std::string{R"({"machine":"m-2","pool":7})"}, std::string{"\"\xff\""},
+          with_capacity + R"({"cpu":18446744073709551615}})", with_capacity + R"({"cpu":-5}})",
+          with_capacity + R"({"cpu":1e400}})", with_capacity + "[]}",
+          with_capacity + nested_arrays(deep) + "}", nested_arrays(deep),
+          R"({"machine":")" + std::string(100'000, 'x') + "\"}"}) {
+        CAPTURE(odd.substr(0, 100));
+        const auto page = parse_machine_page(response_with(
+            "{\"machines\":[" + odd + "," + good_machine + "],\"next_token\":\"2\"}"));
+        REQUIRE(ok(page));
+        REQUIRE(value(page).machines.size() == 1);
+        CHECK(value(page).machines[0].id == "m-1");
+        CHECK(value(page).machines[0].capacity.cpu_milli == 16'000);
+        CHECK(value(page).next == "2");
+    }
+    CHECK_FALSE(ok(parse_machine_page(response_with(R"({"machines":[)" + good_machine))));
+    CHECK_FALSE(ok(parse_machine_page(response_with(R"({"machines":7})"))));
+    CHECK_FALSE(ok(parse_machine_page(response_with("[]"))));
+    // Without its token, the rest of the list would seem to be missing.
+    CHECK_FALSE(ok(parse_machine_page(response_with(R"({"machines":[],"next_token":1e400})"))));
+    CHECK(value(parse_machine_page(response_with(R"({"machines":[],"next_token":7})"))).next ==
+          "7");
+}
+
 TEST_CASE("odd entries: a report from another scheduler is held to the checks of the server's own")
 {
     const auto parsed = parse_control_request("PUT", "/instances/i-1", report_with());
