Numbers out of range in a reply to a poll were cast without a check

Callers saw: an attempt of 2^32 + 1 taken as attempt 1 of the task, so that another run seemed active or ended; a percentage of 1e300 converted to an undefined value; a clock of 2^64 - 1 taken as -1, and one near 2^63, which overflows when a lease is computed.

Change: percentages are clamped, an implausible load is read as 0, and an odd clock in an answer to an order is left out. A row that names no run, or an odd clock or start time of the whole reply, fails the reply as malformed rows did before: a run that can't be read must not count as absent, and an end that can't be read must not be acknowledged.

--- a/src/fleet/validation.cpp
+++ b/src/fleet/validation.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr int max_percent = 100;
+
 status invalid(const char* what)
 {
     return error{error_kind::bad_request, what};
@@ -88,4 +90,22 @@
     return is_valid_capacity(machine.capacity) ? std::nullopt : invalid("capacity is out of range");
 }
 
+status check_poll_reply(const poll_reply& reply)
+{
+    if (!is_valid_clock(reply.clock_ms) || !is_valid_incarnation(reply.incarnation_id)) {
+        return invalid("the clock or the start time is out of range");
+    }
+    for (const active_run& r : reply.active) {
+        if (r.percent < 0 || r.percent > max_percent || !json::is_utf8(r.checkpoint)) {
+            return invalid("an active run is invalid");
+        }
+    }
+    for (const ended_run& r : reply.ended) {
+        if (!json::is_utf8(r.checkpoint)) {
+            return invalid("an ended run is invalid");
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace fescue::fleet
--- a/src/fleet/validation.h
+++ b/src/fleet/validation.h
@@ -32,5 +32,6 @@
 /** Each check fails with error_kind::bad_request if the value can't be acted on. */
 status check_report(const jobs::server_report& report);
 status check_machine(const machine_entry& machine);
+status check_poll_reply(const poll_reply& reply);
 
 } // namespace fescue::fleet
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -60,6 +60,12 @@
     return ok(parse_control_request("PUT", "/instances/" + id, body));
 }
 
+std::string poll_body(const std::string& active, const std::string& finished = "",
+                      const std::string& fields = R"("wall_clock_ms":5000)")
+{
+    return "{" + fields + R"(,"active":[)" + active + R"(],"finished":[)" + finished + "]}";
+}
+
 const std::string good_run = R"(["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,7])";
 const std::string good_machine =
     R"({"machine":"m-1","pool":"p","state":"up","zone":"z","labels":["a","r1"],)"
@@ -194,6 +200,53 @@
     CHECK_FALSE(takes_report(body.substr(0, body.size() - 1) + R"(,"seq":-1})"));
 }
 
+TEST_CASE("odd entries: an odd figure in a row of active costs that figure alone")
+{
+    for (const char* percent : {"1e300", "-1e300", "101", "-1", two_to_64_less_1, least_int64}) {
+        CAPTURE(std::string{percent});
+        const auto reply = parse_poll_reply(response_with(
+            poll_body(good_run + R"(,["5c0e7a21d94b36f8.0.1.18",1,"",)" + percent + ",1e300]")));
+        REQUIRE(ok(reply));
+        REQUIRE(value(reply).active.size() == 2);
+        CHECK(value(reply).active[0].percent == 41);
+        CHECK(value(reply).active[0].load_metric == 7);
+        const int read = value(reply).active[1].percent;
+        CHECK((read == 0 || read == 100));
+        CHECK(value(reply).active[1].load_metric == 0);
+    }
+}
+
+TEST_CASE("odd entries: an attempt beyond 32 bits is not read as another attempt")
+{
+    for (const char* attempt : {"4294967297", two_to_64_less_1}) {
+        const auto active = parse_poll_reply(response_with(
+            poll_body(R"(["5c0e7a21d94b36f8.0.1.17",)" + std::string{attempt} + R"(,"",41])")));
+        const auto finished = parse_poll_reply(response_with(poll_body(
+            "", R"([1,"5c0e7a21d94b36f8.0.1.17",)" + std::string{attempt} + R"(,"done",""])")));
+        for (const auto& reply : {active, finished}) {
+            const bool read_as_another =
+                ok(reply) &&
+                ((!value(reply).active.empty() && value(reply).active[0].run.attempt != 0) ||
+                 (!value(reply).ended.empty() && value(reply).ended[0].run.attempt != 0));
+            CHECK_FALSE(read_as_another);
+        }
+    }
+}
+
+TEST_CASE("odd entries: a clock or life out of range in a reply is not taken")
+{
+    for (const char* number : {two_to_64_less_1, "253402300800000", least_int64}) {
+        const std::string n{number};
+        CHECK_FALSE(
+            ok(parse_poll_reply(response_with(poll_body("", "", "\"wall_clock_ms\":" + n)))));
+        CHECK_FALSE(ok(parse_poll_reply(
+            response_with(poll_body("", "", "\"wall_clock_ms\":5,\"born\":" + n)))));
+        const auto reply = parse_order_reply(response_with("{\"wall_clock_ms\":" + n + "}"));
+        CHECK(reply.result == fleet::order_result::accepted);
+        CHECK_FALSE(reply.clock_ms);
+    }
+}
+
 TEST_CASE("odd entries: a machine that can't be read costs that machine alone")
 {
     const std::string with_capacity = R"({"machine":"m-2","pool":"p","state":"up","capacity":)";
