A relayed order or answer was acted on unchecked, and could end the process

Callers saw: processes that end by themselves. A checkpoint that is not valid UTF-8, in an answer relayed by another scheduler, is committed to the job log, and the next start of the task throws when it is encoded as JSON, at each leader in turn.

Cause: orders and answers from other schedulers were decoded, not checked; dump() throws for text that is not UTF-8.

Change: check_order() and check_answer() hold them to the limits of direct orders and answers.

--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -175,6 +175,18 @@
 /** For a poll_order, the lists of runs or the error; for any other order, its outcome. */
 using server_answer = std::variant<order_reply, result<poll_reply>>;
 
+/** Content of wire::relayed_call::order. */
+struct addressed_order {
+    server_address to;
+    server_order order;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(to, order);
+    }
+};
+
 /** Timeout of an order. Servers answer at once, so the answer counts as lost after this. */
 inline constexpr milliseconds order_timeout{1000};
 
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -1,5 +1,7 @@
 #include "relay.h"
 
+#include "validation.h"
+
 #include "fescuestream/base/log.h"
 
 namespace fescue::fleet {
@@ -13,18 +15,6 @@
 /** Extra time for the round trip through the relay peer, on top of the request's timeout. */
 constexpr milliseconds relay_round_trip{500};
 
-/** Content of relayed_call::order. */
-struct addressed_order {
-    server_address to;
-    server_order order;
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(to, order);
-    }
-};
-
 http::client_response failed_response(http::delivery outcome, const char* error_message)
 {
     http::client_response out;
@@ -38,6 +28,14 @@
     return std::holds_alternative<poll_order>(order);
 }
 
+status check_answer_to(const server_order& order, const server_answer& answer)
+{
+    if (std::holds_alternative<order_reply>(answer) == is_poll(order)) {
+        return error{error_kind::bad_request, "the answer's type does not match the order"};
+    }
+    return check_answer(answer);
+}
+
 milliseconds request_timeout(const server_order& order)
 {
     const auto* poll = std::get_if<poll_order>(&order);
@@ -126,9 +124,10 @@
 void relay::handle(const instance_id& from, const wire::relayed_call& call)
 {
     const auto decoded = from_bytes<addressed_order>(call.order);
-    if (!ok(decoded)) {
-        log::warning("relayed_call_unreadable",
-                     {{"from", from.str()}, {"why", error_of(decoded).detail}});
+    const status fault =
+        ok(decoded) ? check_order(value(decoded).to, value(decoded).order) : error_of(decoded);
+    if (fault) {
+        log::warning("relayed_call_unreadable", {{"from", from.str()}, {"why", fault->detail}});
         return;
     }
     const addressed_order& order = value(decoded);
@@ -158,13 +157,11 @@
         return;
     }
     auto decoded = from_bytes<server_answer>(answer.answer);
-    const bool matches_order = ok(decoded) && std::holds_alternative<order_reply>(value(decoded)) !=
-                                                  is_poll(found->second.order);
-    if (!matches_order) {
+    const status fault =
+        ok(decoded) ? check_answer_to(found->second.order, value(decoded)) : error_of(decoded);
+    if (fault) {
         log::warning("relayed_answer_unreadable",
-                     {{"from", found->second.relay_peer.str()},
-                      {"why", ok(decoded) ? "the answer's type does not match the order"
-                                          : error_of(decoded).detail}});
+                     {{"from", found->second.relay_peer.str()}, {"why", fault->detail}});
         fail_call(answer.number, "the relay peer sent an unreadable answer");
         return;
     }
--- a/src/fleet/validation.cpp
+++ b/src/fleet/validation.cpp
@@ -43,6 +43,27 @@
     return id <= static_cast<incarnation>(max_time_ms);
 }
 
+/** Checks the parts of an order that other schedulers choose. */
+struct order_check {
+    status operator()(const start_order& o) const
+    {
+        return json::is_utf8(o.payload) && json::is_utf8(o.checkpoint)
+                   ? std::nullopt
+                   : invalid("the payload or the checkpoint is not valid UTF-8");
+    }
+    status operator()(const stop_order& /*o*/) const { return std::nullopt; }
+    status operator()(const poll_order& o) const
+    {
+        return o.wait_ms >= 0 && o.wait_ms <= max_duration_ms ? std::nullopt
+                                                              : invalid("wait_ms is out of range");
+    }
+    status operator()(const throttle_order& o) const
+    {
+        return o.percent >= 0 && o.percent <= max_percent ? std::nullopt
+                                                          : invalid("percent is out of range");
+    }
+};
+
 } // namespace
 
 bool is_valid_id(std::string_view text) noexcept
@@ -90,6 +111,14 @@
     return is_valid_capacity(machine.capacity) ? std::nullopt : invalid("capacity is out of range");
 }
 
+status check_order(const server_address& to, const server_order& order)
+{
+    if (!ok(http::parse_endpoint(to.address)) || !is_valid_id(to.id.str())) {
+        return invalid("the order's address is invalid");
+    }
+    return std::visit(order_check{}, order);
+}
+
 status check_poll_reply(const poll_reply& reply)
 {
     if (!is_valid_clock(reply.clock_ms) || !is_valid_incarnation(reply.incarnation_id)) {
@@ -108,4 +137,14 @@
     return std::nullopt;
 }
 
+status check_answer(const server_answer& answer)
+{
+    if (const auto* reply = std::get_if<order_reply>(&answer)) {
+        return is_valid_clock(reply->clock_ms.value_or(0)) ? std::nullopt
+                                                           : invalid("the clock is out of range");
+    }
+    const auto& poll = std::get<result<poll_reply>>(answer);
+    return ok(poll) ? check_poll_reply(value(poll)) : std::nullopt;
+}
+
 } // namespace fescue::fleet
--- a/src/fleet/validation.h
+++ b/src/fleet/validation.h
@@ -32,6 +32,8 @@
 /** Each check fails with error_kind::bad_request if the value can't be acted on. */
 status check_report(const jobs::server_report& report);
 status check_machine(const machine_entry& machine);
+status check_order(const server_address& to, const server_order& order);
+status check_answer(const server_answer& answer);
 status check_poll_reply(const poll_reply& reply);
 
 } // namespace fescue::fleet
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -276,6 +276,16 @@
           "7");
 }
 
+TEST_CASE("odd entries: an order is encoded even if a text in it is not valid UTF-8")
+{
+    fleet::start_order order;
+    order.payload = "\xff";
+    order.checkpoint = "\xc3\x28";
+    CHECK_FALSE(make_start_request({"127.0.0.1:1", server_id{"i-1"}}, order).body.empty());
+    CHECK_FALSE(make_move_machine_request("127.0.0.1:1", "\xff", pool_id{"\xfe"}, {"core-1", 1})
+                    .body.empty());
+}
+
 TEST_CASE("odd entries: a report from another scheduler is held to the checks of the server's own")
 {
     const auto parsed = parse_control_request("PUT", "/instances/i-1", report_with());
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -264,3 +264,79 @@
     restarted.handle(wire::relayed_answer{earlier, to_bytes(server_answer{accepted})});
     CHECK(fixture.answers.empty());
 }
+
+namespace {
+
+/** @return encoded answers, each with an entry that is out of range. */
+std::vector<std::string> odd_answers(bool poll)
+{
+    std::vector<std::string> out;
+    if (!poll) {
+        out.push_back(to_bytes(server_answer{order_reply{order_result::accepted, INT64_MAX}}));
+        return out;
+    }
+    const jobs::run_id run{{jobs::job_id{7}, 0, 0, 1}, 2};
+    poll_reply reply;
+    reply.ended = {{1, run, jobs::run_outcome::done, "\xc3\x28"}};
+    out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
+    reply.ended.clear();
+    reply.active.push_back({run, "\xff", 50, 0});
+    out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
+    reply.active = {{run, "", INT32_MIN, 0}};
+    out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
+    reply.active.clear();
+    reply.clock_ms = INT64_MAX;
+    out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
+    reply.clock_ms = 0;
+    reply.incarnation_id = UINT64_MAX;
+    out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("relay: an answer with an entry out of range counts as no answer")
+{
+    for (const bool poll : {false, true}) {
+        for (const std::string& bytes : odd_answers(poll)) {
+            relay_fixture fixture;
+            fixture.answer_override = bytes;
+            fixture.leader.send(local_data_centre, target_server,
+                                poll ? server_order{poll_order{}}
+                                     : server_order{make_start_order("work")},
+                                fixture.collect_answer);
+            fixture.run_for(100ms);
+            REQUIRE(fixture.answers.size() == 1);
+            if (poll) {
+                CHECK_FALSE(ok(std::get<result<poll_reply>>(fixture.answers[0])));
+            } else {
+                CHECK(std::get<order_reply>(fixture.answers[0]).result == order_result::unknown);
+            }
+        }
+    }
+}
+
+TEST_CASE("relay: a call that no server could be sent is not sent")
+{
+    const start_order good = make_start_order("work");
+    std::vector<std::pair<server_address, server_order>> odd;
+    for (const char* address : {"127.0.0.1:99999", "127.0.0.1", "localhost:28790", ""}) {
+        odd.push_back({{address, server_id{"i-1"}}, good});
+    }
+    odd.push_back({{target_server.address, server_id{"i-1\r\nKey: k"}}, good});
+    odd.push_back({{target_server.address, server_id{}}, good});
+    odd.push_back({target_server, make_start_order("\xff")});
+    odd.push_back({target_server, throttle_order{good.run, 101, 1}});
+    odd.push_back({target_server, throttle_order{good.run, -1, 1}});
+    odd.push_back({target_server, poll_order{0, 1, 0, INT64_MAX}});
+    start_order odd_checkpoint = good;
+    odd_checkpoint.checkpoint = "\xc3\x28";
+    odd.push_back({target_server, odd_checkpoint});
+    for (const auto& [to, order] : odd) {
+        relay_fixture fixture;
+        fixture.leader.send(local_data_centre, to, order, fixture.collect_answer);
+        REQUIRE(fixture.calls_in_flight.size() == 1);
+        fixture.run_for(20ms);
+        CHECK(fixture.peer_protocol.requests_built == 0);
+    }
+}
