Decoding took flags and enumerators that do not exist

Callers saw: nothing yet. A result or an outcome out of range from another instance indexes a table of names beyond its end, and a flag of 2 is undefined behaviour.

Cause: the codec checked lengths and indexes of variants, but copied the bytes of flags and enumerators.

Evidence, before: CHECK_FALSE( ok(from_bytes<bool>(flag)) ) is NOT correct! relay: an answer with an entry out of range ...: CHECK( 200 == 10 )

Change: a flag must be 0 or 1. An enumeration that is decoded declares its highest value, and the codec refuses higher ones.

--- a/include/fescuestream/base/codec.h
+++ b/include/fescuestream/base/codec.h
@@ -126,12 +126,34 @@
 }
 
 template <class T>
-std::enable_if_t<std::is_arithmetic_v<T>>
+std::enable_if_t<std::is_arithmetic_v<T> && !std::is_same_v<T, bool>>
 CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive, T& out)
 {
     archive.read(&out, sizeof out);
 }
 
+inline void CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive, bool& out)
+{
+    std::uint8_t raw = 0;
+    archive.read(&raw, sizeof raw);
+    if (raw > 1) {
+        throw Exception{"a flag is neither 0 nor 1"};
+    }
+    out = raw == 1;
+}
+
+/** Loads an enumerator. Its namespace declares last_value(T), which returns the highest one. */
+template <class T>
+std::enable_if_t<std::is_enum_v<T>>
+CEREAL_LOAD_MINIMAL_FUNCTION_NAME(const fescue::internal::bounded_input_archive& /*archive*/,
+                                  T& out, const std::underlying_type_t<T>& raw)
+{
+    if (raw > static_cast<std::underlying_type_t<T>>(last_value(T{}))) {
+        throw Exception{"an enumerator is out of range"};
+    }
+    out = static_cast<T>(raw);
+}
+
 template <class T>
 void CEREAL_LOAD_FUNCTION_NAME(fescue::internal::bounded_input_archive& archive, BinaryData<T>& out)
 {
--- a/include/fescuestream/base/error.h
+++ b/include/fescuestream/base/error.h
@@ -42,6 +42,10 @@
     internal,
     number_of_kinds
 };
+constexpr error_kind last_value(error_kind /*type*/) noexcept
+{
+    return error_kind::internal;
+}
 
 /** Whether the work of a failed request was started. */
 enum class ran_state : std::uint8_t { no, unknown };
--- a/include/fescuestream/catalogue/command.h
+++ b/include/fescuestream/catalogue/command.h
@@ -67,6 +67,10 @@
 };
 
 enum class wave_action : std::uint8_t { reboot, drain };
+constexpr wave_action last_value(wave_action /*type*/) noexcept
+{
+    return wave_action::drain;
+}
 
 /** Starts a maintenance wave over registered servers. */
 struct start_wave {
@@ -195,6 +199,10 @@
 
 /** Step of moving a server between pools. The epoch fences steps that arrive late. */
 enum class move_step : std::uint8_t { drain, cancel, assign };
+constexpr move_step last_value(move_step /*type*/) noexcept
+{
+    return move_step::assign;
+}
 
 struct move_server {
     server_id id;
@@ -222,6 +230,10 @@
 };
 
 enum class wave_phase : std::uint8_t { waiting, draining, may_stop, back };
+constexpr wave_phase last_value(wave_phase /*type*/) noexcept
+{
+    return wave_phase::back;
+}
 
 /** Advances one server of a maintenance wave to its next phase. */
 struct step_wave {
@@ -271,6 +283,10 @@
 };
 
 enum class claim_outcome : std::uint8_t { running, answered, unknown, not_run };
+constexpr claim_outcome last_value(claim_outcome /*type*/) noexcept
+{
+    return claim_outcome::not_run;
+}
 
 /** Records the outcome of a claimed request. The outcome not_run releases the key. */
 struct end_claim {
--- a/include/fescuestream/catalogue/document.h
+++ b/include/fescuestream/catalogue/document.h
@@ -30,6 +30,10 @@
 };
 
 enum class service_class : std::uint8_t { urgent, normal, background };
+constexpr service_class last_value(service_class /*type*/) noexcept
+{
+    return service_class::background;
+}
 
 /** A service that callers request by name. */
 struct service {
--- a/include/fescuestream/jobs/model.h
+++ b/include/fescuestream/jobs/model.h
@@ -197,6 +197,10 @@
     /** The server's incarnation ended, or the lease must have expired while it was unreachable. */
     lost,
 };
+constexpr run_outcome last_value(run_outcome /*type*/) noexcept
+{
+    return run_outcome::lost;
+}
 
 std::string_view name_of(run_outcome reason) noexcept;
 
--- a/include/fescuestream/store/store.h
+++ b/include/fescuestream/store/store.h
@@ -19,6 +19,10 @@
 namespace fescue::store {
 
 enum class entry_kind : std::uint8_t { command, configuration };
+constexpr entry_kind last_value(entry_kind /*type*/) noexcept
+{
+    return entry_kind::configuration;
+}
 
 struct log_entry {
     term_number term{0};
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -115,6 +115,10 @@
     /** No answer: the order may have been executed or may still be executed. */
     unknown,
 };
+constexpr order_result last_value(order_result /*type*/) noexcept
+{
+    return order_result::unknown;
+}
 
 std::string_view name_of(order_result r) noexcept;
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -272,11 +272,14 @@
 {
     std::vector<std::string> out;
     if (!poll) {
+        out.push_back(to_bytes(server_answer{order_reply{static_cast<order_result>(200), 7}}));
         out.push_back(to_bytes(server_answer{order_reply{order_result::accepted, INT64_MAX}}));
         return out;
     }
     const jobs::run_id run{{jobs::job_id{7}, 0, 0, 1}, 2};
     poll_reply reply;
+    reply.ended.push_back({1, run, static_cast<jobs::run_outcome>(200), ""});
+    out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
     reply.ended = {{1, run, jobs::run_outcome::done, "\xc3\x28"}};
     out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
     reply.ended.clear();
@@ -290,6 +293,8 @@
     reply.clock_ms = 0;
     reply.incarnation_id = UINT64_MAX;
     out.push_back(to_bytes(server_answer{result<poll_reply>{reply}}));
+    out.push_back(
+        to_bytes(server_answer{result<poll_reply>{error{static_cast<error_kind>(200), "x"}}}));
     return out;
 }
 
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -85,3 +85,39 @@
         from_bytes<message>(random_input);
     }
 }
+
+TEST_CASE("decoding rejects a flag, an enumerator or a variant's index out of range")
+{
+    std::string flag = to_bytes(true);
+    REQUIRE(ok(from_bytes<bool>(flag)));
+    flag[0] = 2;
+    CHECK_FALSE(ok(from_bytes<bool>(flag)));
+    std::string present = to_bytes(std::optional<std::int32_t>{5});
+    REQUIRE(ok(from_bytes<std::optional<std::int32_t>>(present)));
+    present[0] = 2;
+    CHECK_FALSE(ok(from_bytes<std::optional<std::int32_t>>(present)));
+    using errors = std::vector<error>;
+    REQUIRE(ok(from_bytes<errors>(to_bytes(errors{{error_kind::internal, ""}}))));
+    CHECK_FALSE(ok(from_bytes<errors>(to_bytes(errors{{error_kind::number_of_kinds, ""}}))));
+    using alternatives = std::variant<std::uint8_t, std::string>;
+    for (const std::int32_t index : {-1, 2, INT32_MAX, INT32_MIN}) {
+        CHECK_FALSE(ok(from_bytes<alternatives>(to_bytes(index) + std::string(16, '\0'))));
+    }
+}
+
+TEST_CASE("decoding rejects lengths beyond the input before it allocates memory")
+{
+    for (const std::uint64_t length : {std::uint64_t{17}, std::uint64_t{1} << 40U, UINT64_MAX}) {
+        const std::string bytes = to_bytes(length) + std::string(16, '\0');
+        CHECK_FALSE(ok(from_bytes<std::string>(bytes)));
+        CHECK_FALSE(ok(from_bytes<std::vector<std::uint64_t>>(bytes)));
+        CHECK_FALSE(ok(from_bytes<std::vector<std::string>>(bytes)));
+        CHECK_FALSE(ok(from_bytes<std::map<std::string, std::string>>(bytes)));
+        CHECK_FALSE(ok(from_bytes<server_reports>(bytes)));
+    }
+    frame_reader reader{derive_key("secret", "test")};
+    const std::uint32_t size = max_frame_bytes + 1;
+    reader.append(std::string(reinterpret_cast<const char*>(&size), sizeof size) +
+                  std::string(tag_bytes, 'x'));
+    CHECK_FALSE(ok(reader.next()));
+}
