Numbers out of range in jobs, documents and waves were cast without a check

Callers saw: a negative anti_affinity, max_unavailable, max_attempts or cap taken as a high limit, 2^32 + 1 taken as 1, a priority cut to 32 bits, a duration of 1e300 s cast to an undefined value, and amounts and times that overflow in sums and products.

Change: negative numbers and priorities beyond 32 bits get 400.

--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -60,6 +60,20 @@
     return ok(parse_control_request("PUT", "/instances/" + id, body));
 }
 
+/** A valid step of a job with additional fields, given as JSON text. */
+std::string job_with(const std::string& fields, const std::string& job_fields = "")
+{
+    return R"({"spec":"x","steps":[{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":900)" + fields +
+           "}]" + job_fields + "}";
+}
+
+std::string document_with(const std::string& route_fields, const std::string& tenant_fields = "")
+{
+    return R"({"version":7,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h",)"
+           R"("path_prefix":"/p/","service":"s","timeout_ms":3000)" +
+           route_fields + R"(}],"tenants":[{"name":"t","api_keys":["k"])" + tenant_fields + "}]}";
+}
+
 std::string poll_body(const std::string& active, const std::string& finished = "",
                       const std::string& fields = R"("wall_clock_ms":5000)")
 {
@@ -286,6 +300,76 @@
                     .body.empty());
 }
 
+TEST_CASE("odd entries: a job with a number out of range is refused")
+{
+    REQUIRE(ok(parse_job(job_with(""))));
+    for (const char* number : {"-1", "-4294967295", least_int64, "1.5", "\"1\""}) {
+        CAPTURE(std::string{number});
+        for (const char* name : {"anti_affinity", "max_unavailable", "estimate_ms", "slo_ms"}) {
+            CHECK_FALSE(ok(parse_job(job_with(",\"" + std::string{name} + "\":" + number))));
+        }
+        for (const char* name : {"repeat_count", "interval_ms"}) {
+            CHECK_FALSE(ok(parse_job(job_with("", ",\"" + std::string{name} + "\":" + number))));
+        }
+    }
+    CHECK_FALSE(ok(parse_job(job_with(R"(,"depends_on":[4294967296])"))));
+}
+
+TEST_CASE("odd entries: a limit of a job beyond 32 bits stays a high limit")
+{
+    const auto job = parse_job(
+        job_with(R"(,"anti_affinity":4294967297,"max_unavailable":18446744073709551615)"));
+    REQUIRE(ok(job));
+    CHECK(value(job).steps[0].max_per_server == UINT32_MAX);
+    CHECK(value(job).steps[0].max_unavailable == UINT32_MAX);
+}
+
+TEST_CASE("odd entries: sums and products over a job's largest numbers stay in range")
+{
+    constexpr std::int64_t largest_sum = INT64_MAX / 100'000;
+    const auto job = parse_job(job_with(
+        R"(,"gpu":1000000000000,"slo_ms":9223372036854775807)",
+        R"(,"repeat_count":1000000,"interval_ms":9223372036854775807,"start_at_ms":9223372036854775807)"));
+    if (ok(job)) {
+        const auto& spec = value(job);
+        CHECK(spec.steps[0].need.accelerators <= largest_sum);
+        CHECK(spec.schedule.interval_ms <= (INT64_MAX - spec.schedule.first_at) / 1'000'000);
+    }
+}
+
+TEST_CASE("odd entries: a document with a number out of range is refused")
+{
+    REQUIRE(ok(parse_document(document_with(""))));
+    for (const char* number : {"-1", "-4294967295", least_int64, "1.5"}) {
+        CAPTURE(std::string{number});
+        CHECK_FALSE(ok(parse_document(document_with(",\"max_attempts\":" + std::string{number}))));
+        CHECK_FALSE(
+            ok(parse_document(document_with(",\"target_latency_ms\":" + std::string{number}))));
+    }
+    for (const char* number : {"4294967296", "2147483648", two_to_64_less_1, least_int64, "1.5"}) {
+        CHECK_FALSE(ok(parse_document(document_with(",\"priority\":" + std::string{number}))));
+    }
+    const auto many = parse_document(document_with(R"(,"max_attempts":4294967297)"));
+    REQUIRE(ok(many));
+    CHECK(value(many).queues.begin()->second.terms.max_failed_runs == UINT32_MAX);
+    CHECK(ok(parse_document(document_with("", R"(,"cap":{"cpu":9223372036854775807})"))));
+    CHECK(ok(parse_document(document_with(R"(,"max_attempts":0,"priority":2147483647)"))));
+}
+
+TEST_CASE("odd entries: a wave with a number out of range is refused")
+{
+    const auto takes = [](const std::string& fields) {
+        return ok(parse_control_request(
+            "POST", "/wave-start", R"({"rollout_batch":1,"machines":["m-1"],)" + fields + "}"));
+    };
+    CHECK(takes(R"("duration_s":20,"cap":1)"));
+    CHECK(takes(R"("duration_s":0.5)"));
+    CHECK_FALSE(takes(R"("duration_s":1e300,"cap":1)"));
+    CHECK_FALSE(takes(R"("duration_s":-1e300,"cap":1)"));
+    CHECK_FALSE(takes(R"("duration_s":20,"cap":-1)"));
+    CHECK_FALSE(takes(R"("duration_s":20,"cap":1e400)"));
+}
+
 TEST_CASE("odd entries: a report from another scheduler is held to the checks of the server's own")
 {
     const auto parsed = parse_control_request("PUT", "/instances/i-1", report_with());
