A call with a huge timeout was answered with 504 at once

Cause: the timeout overflows when it is added to the time of the call in nanoseconds.

Evidence, before: entry: a call with a huge timeout waits for its reply: CHECK( *status == 0 ): 504 == 0

Change: a timeout beyond one hour counts as one hour.

--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 
@@ -21,6 +22,8 @@
 constexpr milliseconds default_caller_timeout{3000};
 /** Fraction of a caller's timeout after which it gets the error that the outcome is unknown. */
 constexpr double caller_timeout_share = 0.8;
+/** Largest timeout of a caller; a longer one counts as this. */
+constexpr std::int64_t max_caller_timeout_ms = 3'600'000;
 /** A call that no leader has received is refused after this: about the length of an election. */
 constexpr milliseconds no_leader_timeout{1500};
 /** Retry-After of a refused call: by then a leader should be elected. */
@@ -41,7 +44,10 @@
         return default_caller_timeout;
     }
     const auto [end, parse_error] = std::from_chars(text->data(), text->data() + text->size(), ms);
-    return parse_error == std::errc{} && ms > 0 ? milliseconds{ms} : default_caller_timeout;
+    if (parse_error == std::errc::result_out_of_range && !text->starts_with('-')) {
+        ms = max_caller_timeout_ms;
+    }
+    return ms > 0 ? milliseconds{std::min(ms, max_caller_timeout_ms)} : default_caller_timeout;
 }
 
 } // namespace
--- a/tests/unit/entry_test.cpp
+++ b/tests/unit/entry_test.cpp
@@ -118,13 +118,16 @@
     }
 
     /** Sends a POST request through the entry. @return where its status is stored. */
-    std::shared_ptr<int> post()
+    std::shared_ptr<int> post(const std::string& timeout_ms = "")
     {
         auto status = std::make_shared<int>(0);
         http::client_request request;
         request.url = "http://" + entry_address + ":" + std::to_string(caller_port) + "/q/1";
         request.body = "{}";
         request.fresh_connection = true;
+        if (!timeout_ms.empty()) {
+            request.headers.push_back({"Deadline-Ms", timeout_ms});
+        }
         client.send(std::move(request), [status](http::client_response&& r) {
             *status = r.outcome == http::delivery::answered ? r.status : -1;
         });
@@ -209,3 +212,19 @@
     f.run_until([&] { return *status != 0; });
     CHECK(*status == service_unavailable);
 }
+
+TEST_CASE("entry: a call with a huge timeout waits for its reply")
+{
+    for (const char* timeout_ms : {"9223372036854775807", "99999999999999999999", "3600001"}) {
+        CAPTURE(std::string{timeout_ms});
+        entry_fixture f;
+        const auto status = f.post(timeout_ms);
+        f.run_until([&] { return !f.first.calls.empty(); });
+        const mono_time sent = f.loop.now();
+        f.run_until([&] { return *status != 0 || f.loop.now() - sent > 700ms; });
+        CHECK(*status == 0);
+        f.first.reply(f.first.calls.at(0).call_id, ok_status);
+        f.run_until([&] { return *status != 0; });
+        CHECK(*status == ok_status);
+    }
+}
