Log lines quoted input of other machines unescaped, unbounded and each time

Operators saw: control characters and bytes that are not UTF-8 in logs, lines as long as the input that they quote, and a line for each refused report.

Change: a value of a line is printable ASCII, with other bytes escaped, and is cut after 512 bytes.

--- a/include/fescuestream/base/log.h
+++ b/include/fescuestream/base/log.h
@@ -18,6 +18,9 @@
 void set_level(level threshold) noexcept;
 /** Parses a level's name. @return false if the name is unknown. */
 bool parse_level(std::string_view name, level& out) noexcept;
+/** @return the text for a log line: characters other than printable ASCII are escaped as \xNN, and
+ * text beyond 512 bytes is cut and marked with "...". */
+std::string printable(std::string_view text);
 /** One key=value pair of a log line. */
 struct field {
     template <class T>
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -44,13 +44,24 @@
     return s;
 }
 
+/** Bounds a line that quotes input of other machines. */
+constexpr std::size_t max_value_bytes = 512;
+
+bool is_printable(char c) noexcept
+{
+    return c >= ' ' && c <= '~';
+}
+
 bool needs_quotes(std::string_view text) noexcept
 {
-    return text.empty() || text.find_first_of(" \t\n\"=") != std::string_view::npos;
+    return text.empty() || text.find_first_of(" \"=") != std::string_view::npos;
 }
 
-void append_value(fmt::memory_buffer& line, std::string_view text)
+void append_value(fmt::memory_buffer& line, std::string_view value)
 {
+    const bool as_is = value.size() <= max_value_bytes && std::ranges::all_of(value, is_printable);
+    const std::string escaped = as_is ? std::string{} : printable(value);
+    const std::string_view text = as_is ? value : std::string_view{escaped};
     if (!needs_quotes(text)) {
         line.append(text);
         return;
@@ -60,13 +71,26 @@
         if (c == '"' || c == '\\') {
             line.push_back('\\');
         }
-        line.push_back(c == '\n' ? ' ' : c);
+        line.push_back(c);
     }
     line.push_back('"');
 }
 
 } // namespace
 
+std::string printable(std::string_view text)
+{
+    std::string out;
+    for (const char c : text.substr(0, max_value_bytes)) {
+        if (is_printable(c)) {
+            out.push_back(c);
+        } else {
+            out += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        }
+    }
+    return text.size() > max_value_bytes ? out + "..." : out;
+}
+
 void set_level(level threshold) noexcept
 {
     minimum_level = threshold;
--- a/src/fleet/control_api.cpp
+++ b/src/fleet/control_api.cpp
@@ -33,10 +33,15 @@
         context_.server_protocol.parse_control_request(in.method, in.path, in.body);
     if (!ok(request)) {
         const error& why = error_of(request);
-        log::info("control_call_refused", {{"method", in.method},
-                                           {"path", in.path},
-                                           {"kind", name_of(why.kind)},
-                                           {"why", why.detail}});
+        context_.counters.count("control_calls_refused");
+        const auto calls = refusals_.admit(in.path + ' ' + why.detail, context_.now());
+        if (calls > 0) {
+            log::info("control_call_refused", {{"method", in.method},
+                                               {"path", in.path},
+                                               {"kind", name_of(why.kind)},
+                                               {"why", why.detail},
+                                               {"calls", calls}});
+        }
         reply(error_reply(why.kind == error_kind::not_found ? not_found : bad_request, why));
         return;
     }
--- a/src/fleet/control_api.h
+++ b/src/fleet/control_api.h
@@ -9,6 +9,8 @@
 #include "core_context.h"
 #include "run_driver.h"
 
+#include "fescuestream/base/log_limiter.h"
+
 #include <functional>
 
 namespace fescue::fleet {
@@ -38,6 +40,7 @@
     core_context& context_;
     run_driver& driver_;
     std::function<void(const jobs::server_report&)> broadcast_report_;
+    log::limiter refusals_;
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -178,7 +178,11 @@
         if (!m.id.empty()) {
             unreadable_machines_.insert(m.id);
         }
-        log::warning("machine_entry_unreadable", {{"machine", m.id}, {"why", m.why}});
+        const auto count = unreadable_entries_.admit(m.id + ' ' + m.why, context_.now());
+        if (count > 0) {
+            log::warning("machine_entry_unreadable",
+                         {{"machine", m.id}, {"why", m.why}, {"entries", count}});
+        }
     }
 }
 
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -11,6 +11,7 @@
 #include "run_driver.h"
 #include "token_bucket.h"
 
+#include "fescuestream/base/log_limiter.h"
 #include "fescuestream/scheduler/maintenance_plan.h"
 #include "fescuestream/scheduler/pool_plan.h"
 
@@ -97,6 +98,7 @@
     std::map<std::string, std::size_t> missed_lists_;
     /** Machines of the list whose entries can't be read. */
     std::set<std::string> unreadable_machines_;
+    log::limiter unreadable_entries_;
     /** Term of the newest logged order for a machine, and the latest time at which it may have been
      * sent. A machine without an entry was never ordered. */
     struct recorded_order {
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -12,6 +12,7 @@
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/log_limiter.h"
 #include "fescuestream/base/shutdown_schedule.h"
 #include "fescuestream/wire/frame.h"
 
@@ -77,6 +78,7 @@
     std::unique_ptr<control_api> control;
     std::unique_ptr<http::server> control_server;
     job_retention retention;
+    log::limiter unreadable_reports;
     std::vector<timer_handle> timers;
     term_number leading_term{0};
     shutdown_schedule shutdown;
@@ -342,7 +344,14 @@
             const fescue::status fault =
                 ok(report) ? check_report(value(report)) : error_of(report);
             if (fault) {
-                log::warning("report_unreadable", {{"from", from.str()}, {"why", fault->detail}});
+                counters.count("reports_unreadable");
+                const auto count =
+                    unreadable_reports.admit(from.str() + ' ' + fault->detail, loop.now());
+                if (count > 0) {
+                    log::warning(
+                        "report_unreadable",
+                        {{"from", from.str()}, {"why", fault->detail}, {"reports", count}});
+                }
                 continue;
             }
             runs->on_report(value(report), milliseconds{std::clamp<std::int64_t>(
