An end with a huge number hid the ends after it

Callers saw: nothing yet. A row of finished with the number 2^64 - 1 is acknowledged up to that number, so that the server drops its ends unread, and every later end counts as read. Their tasks are then ended as lost and run again.

Cause: the numbers of ends were taken without a bound.

Evidence, before: odd entries: an end with a huge number ...: CHECK_FALSE( ok(parse_poll_reply(...)) ): CHECK_FALSE( true ), for 2^64 - 1, 2^63 and 10^12 + 1

--- a/src/fleet/validation.cpp
+++ b/src/fleet/validation.cpp
@@ -130,7 +130,7 @@
         }
     }
     for (const ended_run& r : reply.ended) {
-        if (!json::is_utf8(r.checkpoint)) {
+        if (r.sequence > max_end_sequence || !json::is_utf8(r.checkpoint)) {
             return invalid("an ended run is invalid");
         }
     }
--- a/src/fleet/validation.h
+++ b/src/fleet/validation.h
@@ -18,6 +18,9 @@
 inline constexpr std::int64_t max_time_ms = 253'402'300'799'999;
 /** Largest duration in milliseconds: 100 years of 365.25 days. */
 inline constexpr std::int64_t max_duration_ms = 3'155'760'000'000;
+/** Largest number of an end in one incarnation of a server: a thousand ends a second for 31 years.
+ */
+inline constexpr std::uint64_t max_end_sequence = 1'000'000'000'000;
 /** Largest length of an id, in bytes. */
 inline constexpr std::size_t max_id_bytes = 128;
 /** Largest length of a name or a label, in bytes; bounds memory use. */
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -247,6 +247,16 @@
     }
 }
 
+TEST_CASE("odd entries: an end with a huge number does not hide the ends after it")
+{
+    // Ends up to the highest number that was read are acknowledged and not read again.
+    for (const char* number : {two_to_64_less_1, two_to_63, "1000000000001"}) {
+        CAPTURE(std::string{number});
+        CHECK_FALSE(ok(parse_poll_reply(response_with(poll_body(
+            "", "[" + std::string{number} + R"(,"5c0e7a21d94b36f8.0.1.17",2,"done",""])")))));
+    }
+}
+
 TEST_CASE("odd entries: a clock or life out of range in a reply is not taken")
 {
     for (const char* number : {two_to_64_less_1, "253402300800000", least_int64}) {
