The timeout of a relayed poll with a huge wait overflowed

Callers saw: nothing; only an order made by a test has such a wait.

Cause: the wait of a poll order is added to the timeout of the call without a bound.

Change: the wait counts as at most max_duration_ms.

--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -4,6 +4,8 @@
 
 #include "fescuestream/base/log.h"
 
+#include <algorithm>
+
 namespace fescue::fleet {
 
 namespace {
@@ -39,7 +41,8 @@
 milliseconds request_timeout(const server_order& order)
 {
     const auto* poll = std::get_if<poll_order>(&order);
-    return order_timeout + milliseconds{poll == nullptr ? 0 : poll->wait_ms};
+    return order_timeout +
+           milliseconds{poll == nullptr ? 0 : std::min(poll->wait_ms, max_duration_ms)};
 }
 
 } // namespace
