--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -115,6 +115,10 @@
     /** No answer: the order may have been executed or may still be executed. */
     unknown,
 };
+constexpr order_result last_value(order_result /*type*/) noexcept
+{
+    return order_result::unknown;
+}
 
 std::string_view name_of(order_result r) noexcept;
 
@@ -175,6 +179,18 @@
 /** For a poll_order, the lists of runs or the error; for any other order, its outcome. */
 using server_answer = std::variant<order_reply, result<poll_reply>>;
 
+/** Content of wire::relayed_call::order. */
+struct addressed_order {
+    server_address to;
+    server_order order;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(to, order);
+    }
+};
+
 /** Timeout of an order. Servers answer at once, so the answer counts as lost after this. */
 inline constexpr milliseconds order_timeout{1000};
 
@@ -192,8 +208,15 @@
     server_id server;
 };
 
+struct unreadable_machine {
+    /** Empty if the entry names no machine. */
+    std::string id;
+    std::string why;
+};
+
 struct machine_page {
     std::vector<machine_entry> machines;
+    std::vector<unreadable_machine> unreadable;
     /** Token of the next page; empty: this is the last one. */
     std::string next;
 };
