Schedulers: log slow parts of documents and log entries, slow iterations, peer backlogs

- slow_part also covers reading a control request, encoding a command, sending a log message, storing, syncing, decoding, receiving and applying entries, compaction, and writes to peers.
- slow_iteration: an event loop iteration that took longer than a heartbeat interval.
- peer_backlog: bytes for a peer that the socket did not take for over 200 ms.

Heartbeats wait behind them. The document is read and proposed again by each order that the operator repeats.

--- a/include/fescuestream/base/loop.h
+++ b/include/fescuestream/base/loop.h
@@ -73,6 +73,11 @@
                                   std::function<void(io_interest)> callback);
     /** Invokes the callback at the end of every loop iteration, before the loop blocks. */
     void on_iteration_end(std::function<void()> callback);
+    /**
+     * Invokes the callback after an iteration that reached the threshold, with its duration from
+     * the end of the wait for events to the next wait. Replaces an earlier callback.
+     */
+    void on_slow_iteration(milliseconds threshold, std::function<void(milliseconds)> callback);
     /** Invokes the callback once, at the end of the current loop iteration. */
     void defer(std::function<void()> callback);
     /** Invokes the callback when the process receives the signal. */
--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/scope_timer.h"
 #include "fescuestream/replication/replicated.h"
 
 #include <sodium.h>
@@ -51,7 +52,10 @@
 {
     const std::uint64_t number = next_number_++;
     proposal p;
-    p.bytes = M::encode(cmd);
+    {
+        const scope_timer timing{"encode_command"};
+        p.bytes = M::encode(cmd);
+    }
     p.on_complete = std::move(on_complete);
     p.deadline = replica_.halted() ? loop_.now() : loop_.now() + timeout;
     auto& stored = proposals_.emplace(number, std::move(p)).first->second;
@@ -110,6 +114,7 @@
 {
     const consensus::outputs out{
         [this](const instance_id& to, const consensus::message& m) {
+            const scope_timer timing{"send_log_message"};
             events_.send(to, internal::to_wire(m));
         },
         [this](const store::log_entry& entry) { apply_entry(entry); },
@@ -148,6 +153,7 @@
 template <state_machine M>
 void replicated<M>::apply_entry(const store::log_entry& entry)
 {
+    const scope_timer timing{"apply_entry"};
     const auto cmd = M::decode(entry.bytes);
     if (!ok(cmd)) {
         fail(error_of(cmd));
@@ -207,6 +213,7 @@
 template <state_machine M>
 void replicated<M>::received(const instance_id& from, const consensus::message& m)
 {
+    const scope_timer timing{"receive_log_message"};
     replica_.step(from, m, loop_.now());
 }
 
@@ -245,6 +252,7 @@
         return;
     }
     bytes_since_snapshot_ = 0;
+    const scope_timer timing{"compact_log"};
     if (const auto fault = replica_.compact(M::encode_state(state_))) {
         fail(*fault);
     }
--- a/include/fescuestream/replication/replicated.h
+++ b/include/fescuestream/replication/replicated.h
@@ -7,6 +7,7 @@
  */
 
 #include "fescuestream/base/loop.h"
+#include "fescuestream/base/scope_timer.h"
 #include "fescuestream/consensus/replica.h"
 #include "fescuestream/store/store.h"
 #include "fescuestream/wire/frame.h"
@@ -33,6 +34,7 @@
     }
     void append(const store::log_entry& entry)
     {
+        const scope_timer timing{"store_entry"};
         std::visit([&](auto& s) { s.append(entry); }, store_);
     }
     void truncate_from(log_index index)
@@ -45,6 +47,7 @@
     }
     status sync()
     {
+        const scope_timer timing{"sync_log"};
         return std::visit([](auto& s) { return s.sync(); }, store_);
     }
     bool dirty() const
--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -75,11 +75,29 @@
 struct event_loop::impl {
     struct ev_loop* loop{nullptr};
     ev_prepare prepare{};
+    ev_check check{};
     ev_idle idle{};
     std::vector<std::function<void()>> iteration_end_calls;
     std::vector<std::function<void()>> deferred_calls;
     std::vector<std::unique_ptr<signal_watcher>> signal_watchers;
+    mono_time iteration_began_at{mono_clock::now()};
+    milliseconds slow_iteration_threshold{0};
+    std::function<void(milliseconds)> slow_iteration_call;
 
+    static void on_check(struct ev_loop* /*loop*/, ev_check* watcher, int /*events*/)
+    {
+        static_cast<impl*>(watcher->data)->iteration_began_at = mono_clock::now();
+    }
+    void report_if_slow() const
+    {
+        if (!slow_iteration_call) {
+            return;
+        }
+        const auto took = mono_clock::now() - iteration_began_at;
+        if (took >= slow_iteration_threshold) {
+            slow_iteration_call(std::chrono::duration_cast<milliseconds>(took));
+        }
+    }
     static void on_prepare(struct ev_loop* loop, ev_prepare* watcher, int /*events*/)
     {
         auto& self = *static_cast<impl*>(watcher->data);
@@ -91,6 +109,7 @@
         for (auto& end_call : self.iteration_end_calls) {
             end_call();
         }
+        self.report_if_slow();
         if (self.deferred_calls.empty()) {
             ev_idle_stop(loop, &self.idle);
         } else {
@@ -105,8 +124,13 @@
     impl_->loop = ev_loop_new(EVFLAG_AUTO);
     ev_prepare_init(&impl_->prepare, &impl::on_prepare);
     ev_idle_init(&impl_->idle, &impl::on_idle);
+    ev_check_init(&impl_->check, &impl::on_check);
     impl_->prepare.data = impl_.get();
+    impl_->check.data = impl_.get();
+    // The first watcher to run after the wait, so that the duration covers all others.
+    ev_set_priority(&impl_->check, EV_MAXPRI);
     ev_prepare_start(impl_->loop, &impl_->prepare);
+    ev_check_start(impl_->loop, &impl_->check);
 }
 
 event_loop::~event_loop()
@@ -115,6 +139,7 @@
         ev_signal_stop(impl_->loop, &subscription->watcher);
     }
     ev_prepare_stop(impl_->loop, &impl_->prepare);
+    ev_check_stop(impl_->loop, &impl_->check);
     ev_idle_stop(impl_->loop, &impl_->idle);
     ev_loop_destroy(impl_->loop);
 }
@@ -174,6 +199,13 @@
     impl_->iteration_end_calls.push_back(std::move(callback));
 }
 
+void event_loop::on_slow_iteration(milliseconds threshold,
+                                   std::function<void(milliseconds)> callback)
+{
+    impl_->slow_iteration_threshold = threshold;
+    impl_->slow_iteration_call = std::move(callback);
+}
+
 void event_loop::defer(std::function<void()> callback)
 {
     impl_->deferred_calls.push_back(std::move(callback));
--- a/src/fleet/control_api.cpp
+++ b/src/fleet/control_api.cpp
@@ -1,6 +1,7 @@
 #include "control_api.h"
 
 #include "error_reply.h"
+#include "scope_timer.h"
 
 #include "fescuestream/base/log.h"
 
@@ -29,8 +30,7 @@
 
 void control_api::handle_call(const wire::forwarded_call& in, const reply_function& reply)
 {
-    const auto request =
-        context_.server_protocol.parse_control_request(in.method, in.path, in.body);
+    const auto request = parse(in);
     if (!ok(request)) {
         const error& why = error_of(request);
         log::info("control_call_refused", {{"method", in.method},
@@ -43,6 +43,12 @@
     std::visit([&](const auto& m) { handle(m, reply); }, value(request));
 }
 
+result<control_request> control_api::parse(const wire::forwarded_call& in) const
+{
+    const scope_timer timing{"parse_control_request"};
+    return context_.server_protocol.parse_control_request(in.method, in.path, in.body);
+}
+
 void control_api::handle(const jobs::server_report& report, const reply_function& reply)
 {
     if (driver_.on_report(report)) {
--- a/src/fleet/control_api.h
+++ b/src/fleet/control_api.h
@@ -26,6 +26,7 @@
     void handle_call(const wire::forwarded_call& in, const reply_function& reply);
 
 private:
+    result<control_request> parse(const wire::forwarded_call& in) const;
     void handle(const jobs::server_report& report, const reply_function& reply);
     void handle(const deregister_server& m, const reply_function& reply);
     void handle(const put_document& m, const reply_function& reply);
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -168,6 +168,9 @@
         }));
         timers.push_back(loop.every(job_purge_period, [this] { purge_old_jobs(); }));
         loop.on_iteration_end([this] { peers->flush(); });
+        loop.on_slow_iteration(consensus_timing.heartbeat, [](milliseconds took) {
+            log::info("slow_iteration", {{"took_ms", took.count()}});
+        });
     }
 
     status open_ports()
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -2,6 +2,7 @@
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/scope_timer.h"
 #include "fescuestream/wire/frame.h"
 
 #include <arpa/inet.h>
@@ -25,6 +26,9 @@
 /** Limit on bytes buffered for a peer; beyond it the connection is closed and reopened. */
 constexpr std::size_t max_pending_bytes = 96U << 20U;
 constexpr int listen_backlog = 128;
+/** An unwritten backlog that takes longer than this, a heartbeat interval of the replicated log, is
+ * logged once it is written. */
+constexpr milliseconds slow_backlog{200};
 constexpr std::size_t read_buffer_bytes = 64U << 10U;
 constexpr std::size_t max_datagram_bytes = 60000;
 constexpr std::string_view hello_context = "fescuestream hello";
@@ -95,6 +99,9 @@
     frame_reader reader;
     bool ready{false};
     bool wants_write{false};
+    /** Start and largest size of the backlog that the socket did not take at once. */
+    mono_time backlog_began_at{};
+    std::size_t backlog_bytes{0};
     mono_time connect_started{};
 
     explicit outgoing_connection(const frame_key& key) : reader{key} {}
@@ -214,7 +221,7 @@
             return;
         }
         outgoing_connection& connection = *found->second;
-        const bool usable = (!ready.writable || write_pending(connection)) &&
+        const bool usable = (!ready.writable || write_pending(id, connection)) &&
                             (!ready.readable || read_hello(id, connection));
         if (!usable) {
             disconnect(id);
@@ -226,8 +233,38 @@
         }
     }
 
-    bool write_pending(outgoing_connection& connection)
+    void observe_backlog(const instance_id& to, outgoing_connection& connection) const
     {
+        const std::size_t bytes = connection.pending.size() - connection.pending_offset;
+        if (bytes > 0) {
+            if (connection.backlog_bytes == 0) {
+                connection.backlog_began_at = loop.now();
+            }
+            connection.backlog_bytes = std::max(connection.backlog_bytes, bytes);
+            return;
+        }
+        if (connection.backlog_bytes > 0) {
+            const auto took = loop.now() - connection.backlog_began_at;
+            if (took >= slow_backlog) {
+                log::info("peer_backlog",
+                          {{"peer", to.str()},
+                           {"bytes", connection.backlog_bytes},
+                           {"took_ms", std::chrono::duration_cast<milliseconds>(took).count()}});
+            }
+            connection.backlog_bytes = 0;
+        }
+    }
+
+    bool write_pending(const instance_id& to, outgoing_connection& connection)
+    {
+        const bool usable = write_until_blocked(connection);
+        observe_backlog(to, connection);
+        return usable;
+    }
+
+    bool write_until_blocked(outgoing_connection& connection)
+    {
+        const scope_timer timing{"write_to_peer"};
         while (connection.pending_offset < connection.pending.size()) {
             const ssize_t written =
                 ::send(connection.fd.get(), connection.pending.data() + connection.pending_offset,
@@ -245,7 +282,7 @@
 
     bool write_or_drop(const instance_id& to, outgoing_connection& connection)
     {
-        if (connection.pending.size() >= max_pending_bytes || !write_pending(connection)) {
+        if (connection.pending.size() >= max_pending_bytes || !write_pending(to, connection)) {
             // Closed from the event loop, because the caller is still using the connection.
             loop.defer([this, to] { disconnect(to); });
             connection.ready = false;
@@ -340,6 +377,12 @@
         }
     }
 
+    static result<message> decode_message(const std::string& payload)
+    {
+        const scope_timer timing{"decode_message"};
+        return from_bytes<message>(payload);
+    }
+
     bool process_frames(incoming_connection& connection)
     {
         while (true) {
@@ -351,7 +394,7 @@
             if (!value(payload)) {
                 return true;
             }
-            auto m = from_bytes<message>(*value(payload));
+            auto m = decode_message(*value(payload));
             if (!ok(m) || !process_message(connection, std::move(value(m)))) {
                 log::warning("message_refused",
                              {{"why", ok(m) ? "unexpected message before the handshake"
