Control API: do not read or propose a repeated document again

An operator waits one second for the acknowledgement of a document and then sends it to another scheduler, which forwards it. The leader read the repeated document (140 ms for 4,200 routes on the users' schedulers), appended it to the log a second time, and sent 1.5 MB to each of seven peers again, although the first entry was still on its way.

A document with the text of the one in force is acknowledged without reading it. A document with the text of the last one proposed waits for that entry, as long as this leader has it in its log and has not applied it; it gets that entry's outcome or an unclear answer after the usual time. Other text under the same version is read and proposed as before, and changes nothing. replicated::propose returns the position in the log, and replicated::await waits for one without proposing anything.

The tests on the code before: control_api_test.cpp:94: CHECK( leader.log.replica().last_index() == before + 1 ) 4 == 3 control_api_test.cpp:109: CHECK( leader.log.replica().last_index() == proposed ) 5 == 4 control_api_test.cpp:123: CHECK( leader.documents_parsed == 1 ) 2 == 1

--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -48,7 +48,8 @@
 }
 
 template <state_machine M>
-void replicated<M>::propose(command_type cmd, milliseconds timeout, callback on_complete)
+std::optional<log_position> replicated<M>::propose(command_type cmd, milliseconds timeout,
+                                                   callback on_complete)
 {
     const std::uint64_t number = next_number_++;
     proposal p;
@@ -60,6 +61,25 @@
     p.deadline = replica_.halted() ? loop_.now() : loop_.now() + timeout;
     auto& stored = proposals_.emplace(number, std::move(p)).first->second;
     submit(number, stored, loop_.now());
+    return stored.index == 0 ? std::nullopt
+                             : std::optional{log_position{stored.index, stored.term}};
+}
+
+template <state_machine M>
+bool replicated<M>::await(const log_position& at, milliseconds timeout, callback on_complete)
+{
+    // A leader never removes entries of its own term.
+    if (!replica_.is_leader() || replica_.term() != at.term || at.index <= replica_.applied()) {
+        return false;
+    }
+    proposal p;
+    p.on_complete = std::move(on_complete);
+    p.deadline = loop_.now() + timeout;
+    p.index = at.index;
+    p.term = at.term;
+    p.may_retry = false;
+    proposals_.emplace(next_number_++, std::move(p));
+    return true;
 }
 
 template <state_machine M>
@@ -86,7 +106,8 @@
 bool replicated<M>::needs_retry(const proposal& p, mono_time now) const
 {
     const bool in_log = p.index > replica_.applied();
-    return now - p.last_attempt > (in_log ? internal::retry_period * 4 : internal::retry_period);
+    return p.may_retry &&
+           now - p.last_attempt > (in_log ? internal::retry_period * 4 : internal::retry_period);
 }
 
 template <state_machine M>
@@ -192,6 +213,10 @@
             continue;
         }
         if (at->term != term || found->second.term != term) {
+            if (!found->second.may_retry) {
+                complete(number, error{error_kind::no_leader, "the command was not committed"});
+                return;
+            }
             // An entry of another leader has this index: the command is proposed again.
             found->second.index = 0;
             return;
--- a/include/fescuestream/replication/replicated.h
+++ b/include/fescuestream/replication/replicated.h
@@ -121,6 +121,12 @@
     std::size_t bytes{64U << 20U};
 };
 
+/** Place of an entry in the log: one leader appends at most one entry at an index in its term. */
+struct log_position {
+    log_index index{0};
+    term_number term{0};
+};
+
 template <state_machine M>
 class replicated {
 public:
@@ -137,8 +143,18 @@
     log_replica& replica() noexcept { return replica_; }
     const log_replica& replica() const noexcept { return replica_; }
 
-    /** Retries the proposal until the command is applied on this instance or the timeout ends. */
-    void propose(command_type cmd, milliseconds timeout, callback on_complete);
+    /**
+     * Retries the proposal until the command is applied on this instance or the timeout ends.
+     * @return the position of the command if this instance leads and has appended it.
+     */
+    std::optional<log_position> propose(command_type cmd, milliseconds timeout,
+                                        callback on_complete);
+    /**
+     * Waits for a command that this leader has appended in its current term, for a caller that
+     * repeats an order. Proposes nothing. @return false, without calling back, if the command is
+     * not on its way: it is applied already, or this instance no longer leads that term.
+     */
+    bool await(const log_position& at, milliseconds timeout, callback on_complete);
     /** Proposes without waiting for the outcome. @return false when this is not the leader. */
     bool propose_here(const command_type& cmd);
 
@@ -156,6 +172,8 @@
         mono_time last_attempt{};
         log_index index{0};
         term_number term{0};
+        /** Whether it is proposed again if its entry is lost. */
+        bool may_retry{true};
     };
     struct applied_entry {
         log_index index{0};
--- a/src/fleet/control_api.cpp
+++ b/src/fleet/control_api.cpp
@@ -30,7 +30,10 @@
 
 void control_api::handle_call(const wire::forwarded_call& in, const reply_function& reply)
 {
-    const auto request = parse(in);
+    if (handle_repeated_document(in, reply)) {
+        return;
+    }
+    auto request = parse(in);
     if (!ok(request)) {
         const error& why = error_of(request);
         log::info("control_call_refused", {{"method", in.method},
@@ -40,7 +43,7 @@
         reply(error_reply(why.kind == error_kind::not_found ? not_found : bad_request, why));
         return;
     }
-    std::visit([&](const auto& m) { handle(m, reply); }, value(request));
+    std::visit([&](auto& m) { handle(std::move(m), reply); }, value(request));
 }
 
 result<control_request> control_api::parse(const wire::forwarded_call& in) const
@@ -67,33 +70,64 @@
     reply(make_reply(ok_status, "{}"));
 }
 
-void control_api::propose(jobs::command cmd, const char* command_name, const reply_function& reply)
+job_log::callback control_api::reply_with_outcome(const char* command_name,
+                                                  const reply_function& reply)
 {
     const mono_time proposed_at = context_.now();
-    context_.log.propose(
-        std::move(cmd), proposal_timeout,
-        [this, command_name, proposed_at, reply](const result<jobs::outcome>& outcome) {
-            if (!ok(outcome)) {
-                log::warning("order_in_doubt",
-                             {{"order", command_name}, {"why", error_of(outcome).detail}});
-                reply(error_reply(service_unavailable, error_of(outcome)));
-                return;
-            }
-            context_.counters.observe(latency_kind::order_commit, context_.now() - proposed_at);
-            log::info("order_applied",
-                      {{"order", command_name}, {"changed", value(outcome).changed}});
-            reply(make_reply(ok_status, "{}"));
-        });
+    return [this, command_name, proposed_at, reply](const result<jobs::outcome>& outcome) {
+        if (!ok(outcome)) {
+            log::warning("order_in_doubt",
+                         {{"order", command_name}, {"why", error_of(outcome).detail}});
+            reply(error_reply(service_unavailable, error_of(outcome)));
+            return;
+        }
+        context_.counters.observe(latency_kind::order_commit, context_.now() - proposed_at);
+        log::info("order_applied", {{"order", command_name}, {"changed", value(outcome).changed}});
+        reply(make_reply(ok_status, "{}"));
+    };
+}
+
+std::optional<replication::log_position>
+control_api::propose(jobs::command cmd, const char* command_name, const reply_function& reply)
+{
+    return context_.log.propose(std::move(cmd), proposal_timeout,
+                                reply_with_outcome(command_name, reply));
 }
 
-void control_api::handle(const put_document& m, const reply_function& reply)
+bool control_api::handle_repeated_document(const wire::forwarded_call& in,
+                                           const reply_function& reply)
+{
+    if (in.body.empty() || !context_.server_protocol.is_document_put(in.method, in.path)) {
+        return false;
+    }
+    const jobs::document& held = context_.state().doc;
+    if (in.body == held.source) {
+        log::info("document_put_again", {{"held", held.version}, {"pending", false}});
+        reply(make_reply(ok_status, "{}"));
+        return true;
+    }
+    if (!last_proposed_ || in.body != last_proposed_->source) {
+        return false;
+    }
+    const bool pending = context_.log.await(last_proposed_->at, proposal_timeout,
+                                            reply_with_outcome("document", reply));
+    if (pending) {
+        log::info("document_put_again", {{"held", held.version}, {"pending", true}});
+    }
+    return pending;
+}
+
+void control_api::handle(put_document&& m, const reply_function& reply)
 {
     log::info("document_put", {{"version", m.doc.version}, {"held", context_.state().doc.version}});
     if (m.doc.version <= context_.state().doc.version) {
         reply(make_reply(ok_status, "{}"));
         return;
     }
-    propose(jobs::put_document{m.doc}, "document", reply);
+    std::string source = m.doc.source;
+    if (const auto at = propose(jobs::put_document{std::move(m.doc)}, "document", reply)) {
+        last_proposed_ = {std::move(source), *at};
+    }
 }
 
 void control_api::handle(const get_document& /*m*/, const reply_function& reply)
--- a/src/fleet/control_api.h
+++ b/src/fleet/control_api.h
@@ -10,6 +10,8 @@
 #include "run_driver.h"
 
 #include <functional>
+#include <optional>
+#include <string>
 
 namespace fescue::fleet {
 
@@ -29,16 +31,31 @@
     result<control_request> parse(const wire::forwarded_call& in) const;
     void handle(const jobs::server_report& report, const reply_function& reply);
     void handle(const deregister_server& m, const reply_function& reply);
-    void handle(const put_document& m, const reply_function& reply);
+    void handle(put_document&& m, const reply_function& reply);
+    /**
+     * Replies to a repeated document without parsing it: at once if it is in force, or with the
+     * outcome of the proposal if it is on its way. @return whether it was such a document.
+     */
+    bool handle_repeated_document(const wire::forwarded_call& in, const reply_function& reply);
     void handle(const get_document& m, const reply_function& reply);
     void handle(const set_data_centre& m, const reply_function& reply);
     void handle(const start_maintenance& m, const reply_function& reply);
     void handle(const get_maintenance& m, const reply_function& reply);
-    void propose(jobs::command cmd, const char* command_name, const reply_function& reply);
+    /** @return the callback that replies with the outcome of a proposal. */
+    job_log::callback reply_with_outcome(const char* command_name, const reply_function& reply);
+    std::optional<replication::log_position> propose(jobs::command cmd, const char* command_name,
+                                                     const reply_function& reply);
+
+    /** The text of a proposed document, and where it is in the log. */
+    struct proposed_document {
+        std::string source;
+        replication::log_position at;
+    };
 
     core_context& context_;
     run_driver& driver_;
     std::function<void(const jobs::server_report&)> broadcast_report_;
+    std::optional<proposed_document> last_proposed_;
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -272,6 +272,9 @@
     std::function<std::string(jobs::job_phase)> format_job_phase;
     std::function<std::string(std::size_t pending)> format_pending_count;
 
+    /** @return whether a request on the control address with this method and path puts a document.
+     */
+    std::function<bool(const std::string& method, const std::string& path)> is_document_put;
     /** Fails with error_kind::not_found if no request has this method and path. */
     std::function<result<control_request>(const std::string& method, const std::string& path,
                                           const std::string& body)>
