Schedulers: heartbeats overtake large log entries

A document of 4,200 routes is a log entry of 1.5 MB. To send it to seven peers takes 0.44 s of the leader's link (200 Mbit/s), after an iteration of up to 0.4 s; heartbeats waited behind it on the same connections. Followers heard nothing for longer than the election timeout and the leader lost its lease. Each next leader got the same document from the operator and lost its lease the same way.

A message with 64 KB or more of entries, or a forwarded call with such a body, is sent in parts of 32 KB, and messages that are queued later overtake the remaining parts. Until a large append request is acknowledged, the leader sends that peer only heartbeats, which refer to the last entry that the peer is known to have. They are append requests without entries, and votes, commits and leases are counted as before. A refused request is not hidden by a heartbeat that matches. Entries are moved instead of copied on their way to the encoder.

Wire format: a new message, message_part, at the end of the list. Instances tell in a byte after the random bytes of their nonce that they can receive it; an earlier version ignores that byte and is sent whole messages. Stored data is unchanged.

--- a/include/fescuestream/base/codec.h
+++ b/include/fescuestream/base/codec.h
@@ -157,11 +157,12 @@
 
 static_assert(std::endian::native == std::endian::little, "the format is little-endian");
 
-/** Serializes a value. */
+/** Serializes a value. @param size_hint expected number of bytes, to avoid reallocations. */
 template <class T>
-std::string to_bytes(const T& v)
+std::string to_bytes(const T& v, std::size_t size_hint = 0)
 {
     std::string out;
+    out.reserve(size_hint);
     internal::string_output_archive archive{out};
     archive(v);
     return out;
--- a/include/fescuestream/consensus/message.h
+++ b/include/fescuestream/consensus/message.h
@@ -131,6 +131,27 @@
     }
 };
 
+/**
+ * An append request with at least this many bytes of entries is sent so that smaller messages
+ * overtake it: a heartbeat must not wait for it. At 200 Mbit/s this size takes 3 ms.
+ */
+inline constexpr std::size_t large_append_bytes = 64U << 10U;
+
+/** @return the size of the entries' commands. */
+inline std::size_t append_bytes(const append_request& m) noexcept
+{
+    std::size_t bytes = 0;
+    for (const store::log_entry& entry : m.entries) {
+        bytes += entry.bytes.size();
+    }
+    return bytes;
+}
+
+inline bool is_large(const append_request& m) noexcept
+{
+    return append_bytes(m) >= large_append_bytes;
+}
+
 using message =
     std::variant<append_request, append_reply, vote_request, vote_reply, install_snapshot>;
 
--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -88,6 +88,7 @@
         found->second.next_index = found->second.match + 1;
         found->second.sent_commit = 0;
         found->second.snapshot_sent = false;
+        found->second.large_sent = 0;
         found->second.last_sent = mono_time{};
         // The peer may have restarted or moved to another machine, so earlier readings of its
         // monotonic clock are not comparable.
@@ -323,6 +324,12 @@
         pending_replies_[from] = reply;
         return;
     }
+    const auto pending = pending_replies_.find(from);
+    if (m.entries.empty() && pending != pending_replies_.end() && !pending->second.matched) {
+        // A heartbeat that overtook a request does not tell the leader that it was refused.
+        pending->second.sent_at = std::max(pending->second.sent_at, m.sent_at);
+        return;
+    }
     log_index index = m.prev_index;
     for (const store::log_entry& entry : m.entries) {
         ++index;
@@ -334,12 +341,12 @@
         }
         append_entry(entry);
     }
-    reply.match = index;
     commit_ = std::max(commit_, std::min(m.commit, index));
-    const auto pending = pending_replies_.find(from);
-    if (pending != pending_replies_.end() && pending->second.matched) {
-        reply.match = std::max(reply.match, pending->second.match);
-    }
+    // What matched this leader's log matches it for the rest of its term. A heartbeat may refer to
+    // an earlier entry, and the reply to the request that it overtook may have been lost.
+    matched_ = matched_term_ == m.term ? std::max(matched_, index) : index;
+    matched_term_ = m.term;
+    reply.match = matched_;
     pending_replies_[from] = reply;
 }
 
@@ -369,6 +376,7 @@
     } else {
         p.match = std::min(p.match, m.match);
         p.next_index = m.match + 1;
+        p.large_sent = 0;
         p.last_sent = mono_time{};
     }
 }
@@ -460,6 +468,7 @@
     base_term_ = snap.term;
     commit_ = snap.index;
     restore_pending_ = true;
+    matched_ = std::min(matched_, last_index());
     configurations_.resize(1);
     adopt_configuration(snap.index, snap.configuration);
     for (const store::log_entry& entry : entries_) {
@@ -632,6 +641,7 @@
     store_.truncate_from(index);
     entries_.resize(static_cast<std::size_t>(index - base_index_ - 1));
     synced_ = std::min(synced_, last_index());
+    matched_ = std::min(matched_, last_index());
     while (configurations_.size() > 1 && configurations_.back().first >= index) {
         configurations_.pop_back();
     }
@@ -699,10 +709,10 @@
         out.send(to, reply);
     }
     pending_replies_.clear();
-    const auto messages = std::move(messages_after_sync_);
+    auto messages = std::move(messages_after_sync_);
     messages_after_sync_.clear();
-    for (const auto& [to, m] : messages) {
-        out.send(to, m);
+    for (auto& [to, m] : messages) {
+        out.send(to, std::move(m));
     }
 }
 
@@ -714,7 +724,11 @@
         const bool commit_advanced =
             p.sent_commit < commit_ && now - p.last_sent >= timing_.commit_delay;
         const bool has_updates = p.next_index <= last_index() || commit_advanced;
-        if (heartbeat_due || (has_updates && !p.snapshot_sent)) {
+        if (p.awaits_large_append()) {
+            if (heartbeat_due) {
+                send_overtaking_heartbeat(id, p, now, out);
+            }
+        } else if (heartbeat_due || (has_updates && !p.snapshot_sent)) {
             send_append(id, p, now, out);
         }
     }
@@ -731,7 +745,9 @@
         p.next_index = snap_->index + 1;
         return;
     }
-    append_request m;
+    // Filled in in place, because the entries may be large.
+    message body{append_request{}};
+    auto& m = std::get<append_request>(body);
     m.term = hard_state_.term;
     m.prev_index = std::max(p.next_index, base_index_ + 1) - 1;
     m.prev_term = term_at(m.prev_index);
@@ -741,8 +757,38 @@
         bytes += m.entries.back().bytes.size();
     }
     p.next_index = m.prev_index + m.entries.size() + 1;
+    if (is_large(m)) {
+        p.large_sent = p.next_index - 1;
+    }
     m.commit = commit_;
     p.sent_commit = commit_;
+    renew_lease(m, p, now);
+    out.send(to, std::move(body));
+}
+
+template <log_store Store>
+void replica<Store>::send_overtaking_heartbeat(const instance_id& to, progress& p, mono_time now,
+                                               const outputs& out)
+{
+    if (p.match < base_index_) {
+        // The term of the peer's last entry is not known here any more, so it could not be checked.
+        return;
+    }
+    p.last_sent = now;
+    append_request m;
+    m.term = hard_state_.term;
+    m.prev_index = p.match;
+    m.prev_term = term_at(p.match);
+    m.commit = commit_;
+    // The peer takes the commit index up to this entry only.
+    p.sent_commit = std::max(p.sent_commit, std::min(commit_, p.match));
+    renew_lease(m, p, now);
+    out.send(to, std::move(m));
+}
+
+template <log_store Store>
+void replica<Store>::renew_lease(append_request& m, progress& p, mono_time now) const
+{
     m.sent_at = internal::to_nanoseconds(now);
     const mono_time last_contact = quorum_contact();
     const auto contact_age = std::max(mono_clock::duration::zero(), now - last_contact);
@@ -754,7 +800,6 @@
                        std::chrono::duration_cast<std::chrono::nanoseconds>(contact_age).count();
         p.lease_renewed_at = p.lease_probe_received_at - contact_age;
     }
-    out.send(to, m);
 }
 
 } // namespace fescue::consensus
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -67,6 +67,13 @@
     /** Upper bound on the start of the last renewed lease, on the leader's clock. */
     mono_time lease_renewed_at{};
     bool snapshot_sent{false};
+    /**
+     * Last index of the latest large append request; 0: none. Until it is acknowledged, messages
+     * may overtake that request, so no further entries are sent.
+     */
+    log_index large_sent{0};
+
+    bool awaits_large_append() const noexcept { return large_sent > match; }
 };
 
 /** Requirements of the replica on its store. */
@@ -90,7 +97,7 @@
 
 /** Callbacks for the output of flush(). */
 struct outputs {
-    std::function<void(const instance_id&, const message&)> send;
+    std::function<void(const instance_id&, message&&)> send;
     /** Called for each committed command, in order. */
     std::function<void(const store::log_entry&)> apply;
     /** Called instead of apply when a snapshot replaces the state. */
@@ -201,6 +208,14 @@
     void apply_committed(const outputs& out);
     void send_appends(mono_time now, const outputs& out);
     void send_append(const instance_id& to, progress& p, mono_time now, const outputs& out);
+    /**
+     * Sends a heartbeat that overtakes a large append request: it refers to the last entry that the
+     * peer is known to have, because the peer would not accept a later one yet.
+     */
+    void send_overtaking_heartbeat(const instance_id& to, progress& p, mono_time now,
+                                   const outputs& out);
+    /** Fills in the fields that renew the lease. */
+    void renew_lease(append_request& m, progress& p, mono_time now) const;
     void send_replies(mono_time now, const outputs& out);
     mono_time quorum_contact() const;
     void adopt_configuration(log_index index, const std::string& bytes);
@@ -235,6 +250,9 @@
     log_index commit_{0};
     log_index applied_{0};
     log_index synced_{0};
+    /** Last index known to match the log of the leader of matched_term_. */
+    log_index matched_{0};
+    term_number matched_term_{0};
     /** The failure of the store that halted this replica. */
     status fault_;
     /** Time of the oldest write that is not synced yet. */
--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -22,9 +22,9 @@
     return seed;
 }
 
-inline wire::message to_wire(const consensus::message& m)
+inline wire::message to_wire(consensus::message&& m)
 {
-    return std::visit([](const auto& body) { return wire::message{body}; }, m);
+    return std::visit([](auto& body) { return wire::message{std::move(body)}; }, m);
 }
 
 } // namespace internal
@@ -134,9 +134,9 @@
 void replicated<M>::flush()
 {
     const consensus::outputs out{
-        [this](const instance_id& to, const consensus::message& m) {
+        [this](const instance_id& to, consensus::message&& m) {
             const scope_timer timing{"send_log_message"};
-            events_.send(to, internal::to_wire(m));
+            events_.send(to, internal::to_wire(std::move(m)));
         },
         [this](const store::log_entry& entry) { apply_entry(entry); },
         [this](const store::snapshot& snap) {
--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -448,13 +448,28 @@
     }
 };
 
+/**
+ * A part of the encoding of a large message. Other messages may be received between the parts of
+ * one message; the parts of two messages are not mixed.
+ */
+struct message_part {
+    bool last{false};
+    std::string bytes;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(last, bytes);
+    }
+};
+
 using message =
     std::variant<hello, consensus::append_request, consensus::append_reply, consensus::vote_request,
                  consensus::vote_reply, consensus::install_snapshot, propose_request, propose_reply,
                  control_call, control_reply, work, work_queued, start_confirm_request,
                  start_confirm_reply, work_reply, announcement, load_report, instance_report,
                  release_request, forwarded_call, forwarded_reply, ping, server_reports,
-                 relayed_call, relayed_answer>;
+                 relayed_call, relayed_answer, message_part>;
 
 /** Datagram that shows that the sender is alive and lists the instances that it considers alive. */
 struct heartbeat {
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -299,7 +299,7 @@
                          {{"peer", who.from.str()}, {"cluster", who.cluster}});
             return;
         }
-        std::visit([&](auto&& body) { handle(who.from, body); }, m);
+        std::visit([&](auto& body) { handle(who.from, std::move(body)); }, m);
     }
 
     template <class M>
@@ -315,9 +315,9 @@
     {
         order_relay->handle(m);
     }
-    void handle(const instance_id& from, const consensus::append_request& m)
+    void handle(const instance_id& from, consensus::append_request&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const consensus::append_reply& m)
     {
@@ -331,9 +331,9 @@
     {
         log->received(from, consensus::message{m});
     }
-    void handle(const instance_id& from, const consensus::install_snapshot& m)
+    void handle(const instance_id& from, consensus::install_snapshot&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const wire::propose_request& m) { log->received(from, m); }
     void handle(const instance_id& from, const wire::propose_reply& m) { log->received(from, m); }
--- /dev/null
+++ b/src/wire/send_queue.cpp
@@ -0,0 +1,106 @@
+#include "fescuestream/wire/send_queue.h"
+
+#include "fescuestream/base/codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescue::wire {
+
+namespace {
+
+/** Upper bound on the encoding of a part without its bytes. */
+constexpr std::size_t part_header_bytes = 64;
+/** Bit of the byte that follows the random bytes of a nonce. */
+constexpr unsigned char parts_accepted = 1;
+
+} // namespace
+
+std::size_t overtakable_bytes(const message& m)
+{
+    if (const auto* append = std::get_if<consensus::append_request>(&m)) {
+        // The leader must know which of its messages are overtaken.
+        return is_large(*append) ? append_bytes(*append) : 0;
+    }
+    if (const auto* call = std::get_if<forwarded_call>(&m)) {
+        return call->body.size() >= consensus::large_append_bytes ? call->body.size() : 0;
+    }
+    return 0;
+}
+
+std::string make_nonce()
+{
+    return random_bytes(nonce_bytes) + static_cast<char>(parts_accepted);
+}
+
+bool accepts_parts(const hello& from)
+{
+    return from.nonce.size() > nonce_bytes &&
+           (static_cast<unsigned char>(from.nonce[nonce_bytes]) & parts_accepted) != 0;
+}
+
+std::string_view send_queue::next(std::optional<frame_writer>& writer)
+{
+    if (consumed_ == frames_.size() && !large_messages_.empty()) {
+        const std::string& whole = large_messages_.front();
+        message_part part;
+        part.bytes = whole.substr(large_offset_, part_bytes);
+        large_offset_ += part.bytes.size();
+        part.last = large_offset_ == whole.size();
+        const bool last = part.last;
+        frames_ = writer->write(to_bytes(message{std::move(part)}, part_bytes + part_header_bytes));
+        consumed_ = 0;
+        if (last) {
+            large_messages_.pop_front();
+            large_offset_ = 0;
+        }
+    }
+    return std::string_view{frames_}.substr(consumed_);
+}
+
+void send_queue::consume(std::size_t count)
+{
+    consumed_ += count;
+    if (consumed_ == frames_.size()) {
+        frames_.clear();
+        consumed_ = 0;
+    }
+}
+
+std::size_t send_queue::bytes() const noexcept
+{
+    std::size_t out = frames_.size() - consumed_;
+    for (const std::string& m : large_messages_) {
+        out += m.size();
+    }
+    return out - large_offset_;
+}
+
+std::optional<backlog> send_queue::observe_backlog(mono_time now)
+{
+    const std::size_t unsent = bytes();
+    if (unsent > 0) {
+        backlog_began_at_ = backlog_bytes_ == 0 ? now : backlog_began_at_;
+        backlog_bytes_ = std::max(backlog_bytes_, unsent);
+        return std::nullopt;
+    }
+    const std::size_t largest = std::exchange(backlog_bytes_, 0);
+    if (largest == 0) {
+        return std::nullopt;
+    }
+    return backlog{largest, std::chrono::duration_cast<milliseconds>(now - backlog_began_at_)};
+}
+
+result<std::optional<std::string>> part_collector::add(const message_part& part)
+{
+    if (bytes_.size() + part.bytes.size() > max_frame_bytes) {
+        return error{error_kind::bad_request, "message length exceeds the maximum frame size"};
+    }
+    bytes_ += part.bytes;
+    if (!part.last) {
+        return std::optional<std::string>{};
+    }
+    return std::optional{std::exchange(bytes_, {})};
+}
+
+} // namespace fescue::wire
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -1,15 +1,12 @@
 #include "fescuestream/wire/transport.h"
 
+#include "socket.h"
+
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/scope_timer.h"
 #include "fescuestream/wire/frame.h"
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "fescuestream/wire/send_queue.h"
 
 #include <array>
 #include <cerrno>
@@ -33,54 +30,6 @@
 constexpr std::size_t max_datagram_bytes = 60000;
 constexpr std::string_view hello_context = "fescuestream hello";
 constexpr std::string_view datagram_context = "fescuestream heartbeat";
-/** Time after which unacknowledged bytes close a connection, in milliseconds. */
-constexpr unsigned user_timeout_ms = 2000;
-
-/** Owns a file descriptor. */
-class unique_fd {
-public:
-    unique_fd() = default;
-    explicit unique_fd(int fd) noexcept : fd_{fd} {}
-    unique_fd(unique_fd&& other) noexcept : fd_{std::exchange(other.fd_, -1)} {}
-    unique_fd& operator=(unique_fd&& other) noexcept
-    {
-        std::swap(fd_, other.fd_);
-        return *this;
-    }
-    unique_fd(const unique_fd&) = delete;
-    unique_fd& operator=(const unique_fd&) = delete;
-    ~unique_fd()
-    {
-        if (fd_ >= 0) {
-            close(fd_);
-        }
-    }
-    int get() const noexcept { return fd_; }
-
-private:
-    int fd_{-1};
-};
-
-sockaddr_in to_sockaddr(const http::endpoint& at)
-{
-    sockaddr_in out{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.ip.c_str(), &out.sin_addr);
-    return out;
-}
-
-const sockaddr* as_sockaddr(const sockaddr_in& address)
-{
-    return reinterpret_cast<const sockaddr*>(&address); // NOLINT
-}
-
-void set_socket_options(int fd)
-{
-    const int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
-}
 
 /** Derives the key of one direction from both nonces, so recorded traffic cannot be replayed. */
 frame_key session_key(const std::string& secret, const hello& connecting, const hello& accepting)
@@ -92,16 +41,13 @@
 struct outgoing_connection {
     unique_fd fd;
     io_handle io;
-    std::string pending;
-    std::size_t pending_offset{0};
+    send_queue queue;
     hello local_hello;
     std::optional<frame_writer> writer;
     frame_reader reader;
     bool ready{false};
+    bool peer_accepts_parts{false};
     bool wants_write{false};
-    /** Start and largest size of the backlog that the socket did not take at once. */
-    mono_time backlog_began_at{};
-    std::size_t backlog_bytes{0};
     mono_time connect_started{};
 
     explicit outgoing_connection(const frame_key& key) : reader{key} {}
@@ -113,6 +59,7 @@
     io_handle io;
     frame_reader reader;
     std::optional<hello> peer;
+    part_collector parts;
 
     explicit incoming_connection(const frame_key& key) : reader{key} {}
 };
@@ -153,7 +100,7 @@
     hello make_hello() const
     {
         hello h = local_identity();
-        h.nonce = random_bytes(nonce_bytes);
+        h.nonce = make_nonce();
         return h;
     }
 
@@ -202,7 +149,7 @@
         connection->connect_started = loop.now();
         connection->local_hello = make_hello();
         frame_writer hello_writer{hello_key};
-        connection->pending = hello_writer.write(to_bytes(message{connection->local_hello}));
+        connection->queue.push(hello_writer.write(to_bytes(message{connection->local_hello})));
         watch(id, *connection, true);
         outgoing_connections.emplace(id, std::move(connection));
     }
@@ -227,69 +174,50 @@
             disconnect(id);
             return;
         }
-        const bool wants_write = connection.pending_offset < connection.pending.size();
+        const bool wants_write = !connection.queue.empty();
         if (wants_write != connection.wants_write) {
             watch(id, connection, wants_write);
         }
     }
 
-    void observe_backlog(const instance_id& to, outgoing_connection& connection) const
+    /** @return whether the connection is usable. */
+    bool write_pending(const instance_id& to, outgoing_connection& connection)
     {
-        const std::size_t bytes = connection.pending.size() - connection.pending_offset;
-        if (bytes > 0) {
-            if (connection.backlog_bytes == 0) {
-                connection.backlog_began_at = loop.now();
-            }
-            connection.backlog_bytes = std::max(connection.backlog_bytes, bytes);
-            return;
-        }
-        if (connection.backlog_bytes > 0) {
-            const auto took = loop.now() - connection.backlog_began_at;
-            if (took >= slow_backlog) {
-                log::info("peer_backlog",
-                          {{"peer", to.str()},
-                           {"bytes", connection.backlog_bytes},
-                           {"took_ms", std::chrono::duration_cast<milliseconds>(took).count()}});
+        const scope_timer timing{"write_to_peer"};
+        while (true) {
+            const std::string_view bytes = connection.queue.next(connection.writer);
+            const ssize_t written = bytes.empty() ? 0
+                                                  : ::send(connection.fd.get(), bytes.data(),
+                                                           bytes.size(), MSG_NOSIGNAL);
+            if (written > 0) {
+                connection.queue.consume(static_cast<std::size_t>(written));
+                sent_bytes += static_cast<std::uint64_t>(written);
+                continue;
             }
-            connection.backlog_bytes = 0;
+            log_backlog(to, connection.queue.observe_backlog(loop.now()));
+            return written == 0 || errno == EAGAIN || errno == EINTR;
         }
     }
 
-    bool write_pending(const instance_id& to, outgoing_connection& connection)
+    static void log_backlog(const instance_id& to, const std::optional<backlog>& ended)
     {
-        const bool usable = write_until_blocked(connection);
-        observe_backlog(to, connection);
-        return usable;
-    }
-
-    bool write_until_blocked(outgoing_connection& connection)
-    {
-        const scope_timer timing{"write_to_peer"};
-        while (connection.pending_offset < connection.pending.size()) {
-            const ssize_t written =
-                ::send(connection.fd.get(), connection.pending.data() + connection.pending_offset,
-                       connection.pending.size() - connection.pending_offset, MSG_NOSIGNAL);
-            if (written < 0) {
-                return errno == EAGAIN || errno == EINTR;
-            }
-            connection.pending_offset += static_cast<std::size_t>(written);
-            sent_bytes += static_cast<std::uint64_t>(written);
+        if (ended && ended->duration >= slow_backlog) {
+            log::info("peer_backlog", {{"peer", to.str()},
+                                       {"bytes", ended->bytes},
+                                       {"took_ms", ended->duration.count()}});
         }
-        connection.pending.clear();
-        connection.pending_offset = 0;
-        return true;
     }
 
     bool write_or_drop(const instance_id& to, outgoing_connection& connection)
     {
-        if (connection.pending.size() >= max_pending_bytes || !write_pending(to, connection)) {
+        if (connection.queue.bytes() >= max_pending_bytes || !write_pending(to, connection)) {
             // Closed from the event loop, because the caller is still using the connection.
             loop.defer([this, to] { disconnect(to); });
             connection.ready = false;
             events.disconnected(to);
             return false;
         }
-        if (!connection.pending.empty() && !connection.wants_write) {
+        if (!connection.queue.empty() && !connection.wants_write) {
             watch(to, connection, true);
         }
         return true;
@@ -326,6 +254,7 @@
             return false;
         }
         connection.writer.emplace(session_key(secret, connection.local_hello, peer_hello));
+        connection.peer_accepts_parts = accepts_parts(peer_hello);
         connection.ready = true;
         events.connected(peer_hello);
         return true;
@@ -404,10 +333,27 @@
         }
     }
 
+    bool process_part(incoming_connection& connection, const message_part& part)
+    {
+        const auto complete = connection.parts.add(part);
+        if (!ok(complete) || !value(complete)) {
+            return ok(complete);
+        }
+        auto m = decode_message(*value(complete));
+        if (!ok(m) || std::holds_alternative<message_part>(value(m))) {
+            return false;
+        }
+        events.received(*connection.peer, std::move(value(m)));
+        return true;
+    }
+
     bool process_message(incoming_connection& connection, message&& m)
     {
         if (connection.peer) {
             last_received[connection.peer->from] = loop.now();
+            if (const auto* part = std::get_if<message_part>(&m)) {
+                return process_part(connection, *part);
+            }
             events.received(*connection.peer, std::move(m));
             return true;
         }
@@ -504,7 +450,12 @@
         return false;
     }
     outgoing_connection& connection = *found->second;
-    connection.pending += connection.writer->write(to_bytes(m));
+    if (const std::size_t bytes = overtakable_bytes(m);
+        bytes > 0 && connection.peer_accepts_parts) {
+        connection.queue.push_large(to_bytes(m, bytes + bytes / 16));
+    } else {
+        connection.queue.push(connection.writer->write(to_bytes(m)));
+    }
     if (impl_->writes_held) {
         impl_->peers_to_flush.insert(to);
         return true;
--- a/tests/fakes/replica_group.h
+++ b/tests/fakes/replica_group.h
@@ -152,7 +152,9 @@
     void crash(const instance_id& id)
     {
         members_[id].log.reset();
-        std::erase_if(in_flight_, [&](const auto& p) { return p.to == id || p.from == id; });
+        const auto concerns = [&](const packet& p) { return p.to == id || p.from == id; };
+        std::erase_if(in_flight_, concerns);
+        std::erase_if(delayed_, [&](const auto& d) { return concerns(d.second); });
     }
 
     void replace_disk(const instance_id& id)
@@ -194,6 +196,10 @@
     std::set<instance_id> paused;
     std::set<std::pair<instance_id, instance_id>> cut;
     double drop_probability{0};
+    /** Large append requests take up to this time, and other messages overtake them. */
+    milliseconds large_delay{0};
+    /** Number of large append requests sent so far. */
+    int large_sent{0};
 
     /** Replaces a member's log by a snapshot of what it has applied. */
     status compact(const instance_id& id)
@@ -231,7 +237,7 @@
             }
             const consensus::outputs out{
                 [this, &id = id](const instance_id& to, const consensus::message& body) {
-                    in_flight_.push_back({id, to, body});
+                    send({id, to, body});
                 },
                 [&m = m](const store::log_entry& e) { m.applied.push_back(e.bytes); },
                 [&m = m](const store::snapshot& s) { m.applied = split_lines(s.state); }};
@@ -239,8 +245,25 @@
         }
     }
 
+    void send(packet&& p)
+    {
+        const auto* append = std::get_if<consensus::append_request>(&p.m);
+        const bool large = append != nullptr && is_large(*append);
+        large_sent += large ? 1 : 0;
+        if (!large || large_delay.count() == 0) {
+            in_flight_.push_back(std::move(p));
+            return;
+        }
+        std::uniform_int_distribution<milliseconds::rep> part_of_delay{large_delay.count() / 2,
+                                                                       large_delay.count()};
+        delayed_.emplace(now + milliseconds{part_of_delay(random_)}, std::move(p));
+    }
+
     void deliver()
     {
+        while (!delayed_.empty() && delayed_.begin()->first <= now) {
+            in_flight_.push_back(std::move(delayed_.extract(delayed_.begin()).mapped()));
+        }
         flush_all();
         for (int round = 0; round < 6 && !in_flight_.empty(); ++round) {
             std::deque<packet> batch;
@@ -262,6 +285,7 @@
 
     std::map<instance_id, member> members_;
     std::deque<packet> in_flight_;
+    std::multimap<mono_time, packet> delayed_;
     std::mt19937_64 random_;
     consensus::timing intervals_;
     incarnation next_disk_id_{1};
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -83,7 +83,8 @@
 
 namespace {
 
-void check_agreement(consensus::timing intervals)
+/** @param large_delay if not 0, one entry in four is large and is overtaken by other messages. */
+void check_agreement(consensus::timing intervals, milliseconds large_delay = milliseconds{0})
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         CAPTURE(seed);
@@ -92,9 +93,12 @@
         std::mt19937_64 random{seed};
         std::vector<std::string> committed;
         group.drop_probability = 0.05;
+        group.large_delay = large_delay;
         for (int step = 0; step < 60; ++step) {
             if (auto* leader = group.leader()) {
-                leader->propose("c" + std::to_string(step));
+                const bool large = large_delay.count() > 0 && step % 4 == 0;
+                leader->propose("c" + std::to_string(step) +
+                                std::string(large ? consensus::large_append_bytes : 0, 'x'));
             }
             group.run(static_cast<int>(random() % 20));
             const instance_id victim = id(static_cast<int>(random() % 5));
@@ -120,10 +124,12 @@
         }
         group.drop_probability = 0;
         group.cut.clear();
-        group.run(election_steps);
+        // A replica that is behind may need several large requests, one after the other.
+        const int large_steps = static_cast<int>(large_delay / milliseconds{10});
+        group.run(election_steps + 4 * large_steps);
         REQUIRE(group.leader() != nullptr);
         group.leader()->propose("last");
-        group.run(50);
+        group.run(50 + large_steps);
         for (auto& [name, m] : group.all()) {
             CHECK(one_is_prefix(m.applied, committed));
             CHECK(m.applied.size() >= committed.size());
@@ -165,6 +171,61 @@
     check_agreement(late_sync);
 }
 
+TEST_CASE("replicas agree and keep committed entries when large entries are overtaken")
+{
+    check_agreement({}, milliseconds{900});
+}
+
+TEST_CASE("a leader keeps its lease while a large entry takes longer than the election timeout")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        replica_group<> group{5, seed};
+        group.form();
+        group.run(100);
+        auto* leader = group.leader();
+        REQUIRE(leader != nullptr);
+        const term_number term = leader->term();
+        group.large_delay = milliseconds{1500};
+        const std::string large(consensus::large_append_bytes, 'x');
+        leader->propose(large);
+        for (int step = 0; step < 200; ++step) {
+            if (step == 30) {
+                // An entry that waits for the large one.
+                leader->propose("small");
+            }
+            group.run(1);
+            REQUIRE(leader->has_leader_lease(group.now));
+        }
+        CHECK(leader->term() == term);
+        CHECK(group.large_sent == 4);
+        for (auto& [name, m] : group.all()) {
+            CHECK(contains(m.applied, large));
+            CHECK(contains(m.applied, "small"));
+        }
+    }
+}
+
+TEST_CASE("a follower that lost the connection during a large entry receives it again")
+{
+    replica_group<> group{3, 5};
+    group.form();
+    group.run(100);
+    const instance_id leader = leader_of(group);
+    const instance_id follower = leader == id(0) ? id(1) : id(0);
+    group.large_delay = milliseconds{1000};
+    const std::string large(consensus::large_append_bytes, 'x');
+    group.leader()->propose(large);
+    group.run(20);
+    group.crash(follower);
+    group.run(20);
+    group.start(follower);
+    group.run(200);
+    CHECK(leader_of(group) == leader);
+    CHECK(contains(group.at(follower).applied, large));
+    CHECK(group.large_sent == 3);
+}
+
 TEST_CASE("a leader of five voters commits on its followers' syncs and defers its own")
 {
     replica_group<> group{5, 21, late_sync};
--- a/tests/unit/replica_messages_test.cpp
+++ b/tests/unit/replica_messages_test.cpp
@@ -131,3 +131,41 @@
     CHECK(f.flush());
     CHECK(f.replies.empty());
 }
+
+TEST_CASE("a lost reply to a large request is made up for by the reply to an earlier heartbeat")
+{
+    follower<> f;
+    REQUIRE_FALSE(f.flush());
+    f.step(append(1, 1, 1, {entry(1, 2), entry(1, 3)}));
+    REQUIRE_FALSE(f.flush());
+    f.replies.clear();
+    f.step(append(1, 1, 1, {}));
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.replies.size() == 1);
+    CHECK(f.replies.front().matched);
+    CHECK(f.replies.front().match == 3);
+}
+
+TEST_CASE("what matched an earlier leader's log is not reported as matching the next leader's")
+{
+    follower<> f;
+    f.step(append(1, 1, 1, {entry(1, 2), entry(1, 3)}));
+    REQUIRE_FALSE(f.flush());
+    f.replies.clear();
+    f.step(append(2, 1, 1, {}));
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.replies.size() == 1);
+    CHECK(f.replies.front().match == 1);
+}
+
+TEST_CASE("a refused request is reported although a heartbeat that overtook it matches")
+{
+    follower<> f;
+    REQUIRE_FALSE(f.flush());
+    f.replies.clear();
+    f.step(append(1, 2, 1, {entry(1, 3)}));
+    f.step(append(1, 1, 1, {}));
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.replies.size() == 1);
+    CHECK_FALSE(f.replies.front().matched);
+}
