--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/scope_timer.h"
 #include "fescuestream/replication/replicated.h"
 
 #include <sodium.h>
@@ -21,9 +22,9 @@
     return seed;
 }
 
-inline wire::message to_wire(const consensus::message& m)
+inline wire::message to_wire(consensus::message&& m)
 {
-    return std::visit([](const auto& body) { return wire::message{body}; }, m);
+    return std::visit([](auto& body) { return wire::message{std::move(body)}; }, m);
 }
 
 } // namespace internal
@@ -47,15 +48,38 @@
 }
 
 template <state_machine M>
-void replicated<M>::propose(command_type cmd, milliseconds timeout, callback on_complete)
+std::optional<log_position> replicated<M>::propose(command_type cmd, milliseconds timeout,
+                                                   callback on_complete)
 {
     const std::uint64_t number = next_number_++;
     proposal p;
-    p.bytes = M::encode(cmd);
+    {
+        const scope_timer timing{"encode_command"};
+        p.bytes = M::encode(cmd);
+    }
     p.on_complete = std::move(on_complete);
     p.deadline = replica_.halted() ? loop_.now() : loop_.now() + timeout;
     auto& stored = proposals_.emplace(number, std::move(p)).first->second;
     submit(number, stored, loop_.now());
+    return stored.index == 0 ? std::nullopt
+                             : std::optional{log_position{stored.index, stored.term}};
+}
+
+template <state_machine M>
+bool replicated<M>::await(const log_position& at, milliseconds timeout, callback on_complete)
+{
+    // A leader never removes entries of its own term.
+    if (!replica_.is_leader() || replica_.term() != at.term || at.index <= replica_.applied()) {
+        return false;
+    }
+    proposal p;
+    p.on_complete = std::move(on_complete);
+    p.deadline = loop_.now() + timeout;
+    p.index = at.index;
+    p.term = at.term;
+    p.may_retry = false;
+    proposals_.emplace(next_number_++, std::move(p));
+    return true;
 }
 
 template <state_machine M>
@@ -82,7 +106,8 @@
 bool replicated<M>::needs_retry(const proposal& p, mono_time now) const
 {
     const bool in_log = p.index > replica_.applied();
-    return now - p.last_attempt > (in_log ? internal::retry_period * 4 : internal::retry_period);
+    return p.may_retry &&
+           now - p.last_attempt > (in_log ? internal::retry_period * 4 : internal::retry_period);
 }
 
 template <state_machine M>
@@ -109,8 +134,9 @@
 void replicated<M>::flush()
 {
     const consensus::outputs out{
-        [this](const instance_id& to, const consensus::message& m) {
-            events_.send(to, internal::to_wire(m));
+        [this](const instance_id& to, consensus::message&& m) {
+            const scope_timer timing{"send_log_message"};
+            events_.send(to, internal::to_wire(std::move(m)));
         },
         [this](const store::log_entry& entry) { apply_entry(entry); },
         [this](const store::snapshot& snap) {
@@ -148,6 +174,7 @@
 template <state_machine M>
 void replicated<M>::apply_entry(const store::log_entry& entry)
 {
+    const scope_timer timing{"apply_entry"};
     const auto cmd = M::decode(entry.bytes);
     if (!ok(cmd)) {
         fail(error_of(cmd));
@@ -186,6 +213,10 @@
             continue;
         }
         if (at->term != term || found->second.term != term) {
+            if (!found->second.may_retry) {
+                complete(number, error{error_kind::no_leader, "the command was not committed"});
+                return;
+            }
             // An entry of another leader has this index: the command is proposed again.
             found->second.index = 0;
             return;
@@ -207,6 +238,7 @@
 template <state_machine M>
 void replicated<M>::received(const instance_id& from, const consensus::message& m)
 {
+    const scope_timer timing{"receive_log_message"};
     replica_.step(from, m, loop_.now());
 }
 
@@ -245,6 +277,7 @@
         return;
     }
     bytes_since_snapshot_ = 0;
+    const scope_timer timing{"compact_log"};
     if (const auto fault = replica_.compact(M::encode_state(state_))) {
         fail(*fault);
     }
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -171,6 +171,9 @@
         }));
         timers.push_back(loop.every(job_purge_period, [this] { purge_old_jobs(); }));
         loop.on_iteration_end([this] { peers->flush(); });
+        loop.on_slow_iteration(consensus_timing.heartbeat, [](milliseconds took) {
+            log::info("slow_iteration", {{"took_ms", took.count()}});
+        });
     }
 
     status open_ports()
@@ -301,7 +304,7 @@
                          {{"peer", who.from.str()}, {"cluster", who.cluster}});
             return;
         }
-        std::visit([&](auto&& body) { handle(who.from, body); }, m);
+        std::visit([&](auto& body) { handle(who.from, std::move(body)); }, m);
     }
 
     template <class M>
@@ -317,9 +320,9 @@
     {
         order_relay->handle(m);
     }
-    void handle(const instance_id& from, const consensus::append_request& m)
+    void handle(const instance_id& from, consensus::append_request&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const consensus::append_reply& m)
     {
@@ -333,9 +336,9 @@
     {
         log->received(from, consensus::message{m});
     }
-    void handle(const instance_id& from, const consensus::install_snapshot& m)
+    void handle(const instance_id& from, consensus::install_snapshot&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const wire::propose_request& m) { log->received(from, m); }
     void handle(const instance_id& from, const wire::propose_reply& m) { log->received(from, m); }
