Scheduler: other schedulers learn a server's new capacity and labels at once

After a change of leader the new leader placed tasks by the capacity that a server had when its address, pool or state last changed, until the server's next report: up to a report period later. If the capacity had shrunk, a server that enforces it refused these starts, and one that doesn't was brought over it.

Cause: run_driver::on_report says whether a report is passed on to the other schedulers, and did not compare capacity and labels. Reports that only continue the clock and the sequence are still not passed on, so the number of messages is bounded by the number of changes, at most one a report period and server.

The event server_seen shows the capacity. Placement itself already follows the newest report, including on servers that have more in use than they report; that has a test now ("a server that reports less gets no start beyond it").

Failed before: server_capacity_test.cpp: CHECK( is_passed_on() ) is NOT correct, for the CPU, the memory and the labels.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -100,6 +100,7 @@
     }
     const bool changed = is_new || known.incarnation_id != report.incarnation_id ||
                          known.address != report.address || known.pool != report.pool ||
+                         known.labels != report.labels || known.capacity != report.capacity ||
                          known.leaving != report.leaving;
     const bool restarted =
         !is_new && known.incarnation_id != report.incarnation_id && known.incarnation_id != 0;
@@ -115,6 +116,8 @@
                                   {"pool", report.pool.str()},
                                   {"data_centre", report.data_centre.str()},
                                   {"rack", report.rack.str()},
+                                  {"cpu_milli", report.capacity.cpu_milli},
+                                  {"memory_mb", report.capacity.memory_mb},
                                   {"leaving", report.leaving},
                                   {"restarted", restarted}});
         view.next_poll = std::min(view.next_poll, context_.now());
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -36,7 +36,8 @@
      * Handles a server's report.
      * @param age time since the report was received by the instance that forwards it; 0 if the
      * server sent it to this instance.
-     * @return whether the server is new or its incarnation, address, pool or leaving state changed.
+     * @return whether the server is new or its incarnation, address, pool, labels, capacity or
+     * leaving state changed.
      */
     bool on_report(const jobs::server_report& report, milliseconds age = milliseconds{0});
     /** Handles a server's notice that it is shutting down now. */
--- a/tests/fakes/scheduling_leader.h
+++ b/tests/fakes/scheduling_leader.h
@@ -103,7 +103,7 @@
     http::server server_;
 };
 
-/** A fake machine service whose list shows every machine as up in the pool. */
+/** A fake machine service whose list shows every machine as up. */
 class fake_machine_service {
 public:
     fake_machine_service(event_loop& loop, std::uint16_t port)
@@ -116,15 +116,21 @@
 
     /** Ids of the machines and of the servers on them. */
     std::map<std::string, std::string> machines;
+    /** Pools of the machines that are not in the first pool. */
+    std::map<std::string, pool_id> pools;
+    /** Kinds of the machines; the default is a. */
+    std::map<std::string, std::string> kinds;
     /** Reply to every order; a status of 0 leaves orders unanswered. */
     http::response order_reply{409, "application/json", R"({"reason":"busy"})", {}};
     std::vector<std::string> orders;
+    std::vector<std::string> order_bodies;
 
 private:
     void handle_request(http::exchange_id exchange, const http::request& request)
     {
         if (request.method == "POST") {
             orders.push_back(request.path);
+            order_bodies.push_back(request.body);
             if (order_reply.status != 0) {
                 server_.respond(exchange, http::response{order_reply});
             }
@@ -134,10 +140,10 @@
         for (const auto& [machine, server] : machines) {
             list["machines"].push_back(
                 {{"machine", machine},
-                 {"pool", pool.str()},
+                 {"pool", (pools.contains(machine) ? pools.at(machine) : pool).str()},
                  {"state", "up"},
                  {"zone", "z"},
-                 {"labels", {"a", "r1"}},
+                 {"labels", {kinds.contains(machine) ? kinds.at(machine) : "a", "r1"}},
                  {"capacity", {{"cpu", 64000}, {"mem_mb", 64000}, {"gpu", 0}}},
                  {"id", server}});
         }
@@ -170,7 +176,7 @@
         run_for(20ms);
     }
 
-    /** Uses the machine service on the port; call it before the first run_for(). */
+    /** Uses the machine service on the port from now on. */
     void use_machine_service(std::uint16_t port)
     {
         settings.machines.address = "127.0.0.1:" + std::to_string(port);
@@ -178,13 +184,15 @@
 
     /** Adds a server that reports twice a second. */
     void add_server(const std::string& id, std::uint16_t port,
-                    const jobs::resources& capacity = {64'000, 64'000, 0})
+                    const jobs::resources& capacity = {64'000, 64'000, 0},
+                    const pool_id& in_pool = pool, const std::string& kind = "a")
     {
         jobs::server_report r;
         r.id = server_id{id};
         r.incarnation_id = 1;
         r.address = "127.0.0.1:" + std::to_string(port);
-        r.pool = pool;
+        r.pool = in_pool;
+        r.labels = {kind, "r1"};
         r.capacity = capacity;
         reports_.push_back(r);
         send_reports();
--- /dev/null
+++ b/tests/unit/server_capacity_test.cpp
@@ -0,0 +1,66 @@
+#include "fakes/scheduling_leader.h"
+
+using namespace fescue;
+using namespace fescue::fakes;
+
+namespace {
+
+constexpr std::uint16_t base_port = 28760;
+const server_id first_server{"i-1"};
+const server_id second_server{"i-2"};
+
+jobs::task_id first_task_of(std::uint64_t job)
+{
+    return {jobs::job_id{job}, 0, 0, 0};
+}
+
+} // namespace
+
+TEST_CASE("capacity: a server that reports less gets no start beyond it, and one that reports more "
+          "is used at once")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port};
+    leader.set_enforces_capacity(false);
+    leader.add_server("i-1", base_port);
+    leader.submit(1, make_long_running_step(1));
+    REQUIRE(leader.run_until([&] { return leader.is_running(1); }, 1s));
+    leader.set_capacity("i-1", {4'000, 64'000, 0});
+    leader.submit(2, make_short_step());
+    jobs::step_spec best_effort = make_short_step();
+    best_effort.best_effort = true;
+    leader.submit(3, best_effort);
+    leader.run_for(500ms);
+    CHECK(leader.is_running(1));
+    CHECK_FALSE(leader.is_running(2));
+    CHECK_FALSE(leader.is_running(3));
+    leader.set_capacity("i-1", {64'000, 4'000, 0});
+    leader.run_for(500ms);
+    CHECK_FALSE(leader.is_running(2));
+    CHECK_FALSE(leader.is_running(3));
+    leader.set_capacity("i-1", {64'000, 64'000, 0});
+    CHECK(leader.run_until([&] { return leader.is_running(2) && leader.is_running(3); }, 300ms));
+}
+
+TEST_CASE("capacity: a change that a server reports is passed on to the other schedulers")
+{
+    scheduling_leader leader;
+    jobs::server_report report;
+    report.id = first_server;
+    report.incarnation_id = 1;
+    report.capacity = {64'000, 64'000, 0};
+    const auto is_passed_on = [&] {
+        ++report.sequence;
+        return leader.driver.on_report(report);
+    };
+    CHECK(is_passed_on());
+    CHECK_FALSE(is_passed_on());
+    report.capacity.cpu_milli = 8'000;
+    CHECK(is_passed_on());
+    report.capacity.memory_mb = 8'000;
+    CHECK(is_passed_on());
+    report.labels = {"b", "r2"};
+    CHECK(is_passed_on());
+    report.clock_ms = 1;
+    CHECK_FALSE(is_passed_on());
+}
