Scheduler: a batch of starts that commits late starts each run once

A batch of starts that has not been applied within 3 s is taken for lost, and the waiting tasks are placed again. If the first batch commits after all, both are applied. The log accepts a run only once, but the leader sent the start again: to another server, where the task ran a second time (TWICE), or to the same one, where the run's capacity was counted twice and one half of it was never given back.

Cause: on_begin_run compared task and attempt with the log, not the server, and did not look whether it drives the run already.

Failed before: CHECK( worker.starts.size() == 1 ) is NOT correct, values: CHECK( 2 == 1 ); CHECK( second_worker.starts.empty() ) is NOT correct.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -212,7 +212,9 @@
 {
     const task_id& task = cmd.run.task;
     const jobs::task* t = context_.state().find(task);
-    if (t == nullptr || t->phase != jobs::task_phase::running || t->attempt != cmd.run.attempt) {
+    // A batch that commits late may have been proposed again with other servers.
+    if (t == nullptr || t->phase != jobs::task_phase::running || t->attempt != cmd.run.attempt ||
+        t->server != cmd.server || find_run(cmd.server, cmd.run) != nullptr) {
         return;
     }
     server_view& view = servers_[cmd.server];
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -64,3 +64,22 @@
     report.clock_ms = 1;
     CHECK_FALSE(is_passed_on());
 }
+
+TEST_CASE("capacity: a batch of starts that is proposed twice starts each run once")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 2};
+    fake_worker second_worker{leader.loop, base_port + 3};
+    leader.add_server("i-1", base_port + 2);
+    leader.add_server("i-2", base_port + 3);
+    leader.submit(1, make_short_step());
+    const jobs::run_id run{first_task_of(1), 1};
+    leader.log.propose_here(jobs::start_runs{{{run, first_server, 1}}});
+    leader.log.propose_here(jobs::start_runs{{{run, first_server, 1}}});
+    leader.log.propose_here(jobs::start_runs{{{run, second_server, 1}}});
+    leader.run_for(500ms);
+    CHECK(worker.starts.size() == 1);
+    CHECK(second_worker.starts.empty());
+    CHECK(leader.driver.servers().at(first_server).used == make_short_step().need);
+    CHECK(leader.driver.servers().at(second_server).used == jobs::resources{});
+}
