Scheduler: a start is not sent if its server's capacity has shrunk since it was placed

Between the placement of a task and the commit of its start a report may show that the server has less capacity. The start was sent nevertheless: a server that does not enforce its capacity ran more than it has (LIMIT), another one refused.

The leader compares the task's needs with the server's free capacity again when the start has been applied, right before it is sent. Everything that the log lists on the server counts, also runs that are being stopped, starts without an answer and ends that are not committed. A start that no longer fits ends as not begun, which is no failed attempt, and the task waits again.

Failed before: CHECK( worker.starts.empty() ) is NOT correct.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -218,6 +218,8 @@
         return;
     }
     server_view& view = servers_[cmd.server];
+    const jobs::resources need = context_.state().find_step_spec(task)->required_capacity();
+    const bool has_capacity = need.fits(view.free());
     run_view run;
     run.attempt = cmd.run.attempt;
     run.ordered_at = context_.now();
@@ -228,6 +230,10 @@
         propose_end(cmd.run, run_outcome::not_begun, "", "server_changed_before_the_order");
         return;
     }
+    if (!has_capacity) {
+        propose_end(cmd.run, run_outcome::not_begun, "", "capacity_shrank_before_the_order");
+        return;
+    }
     send_start(view, task, added);
 }
 
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -65,6 +65,24 @@
     CHECK_FALSE(is_passed_on());
 }
 
+TEST_CASE("capacity: a start that was logged before its server's capacity shrank is not sent")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 1};
+    leader.set_enforces_capacity(false);
+    leader.add_server("i-1", base_port + 1, {4'000, 64'000, 0});
+    leader.submit(1, make_short_step());
+    leader.run_for(100ms);
+    REQUIRE_FALSE(leader.is_running(1));
+    leader.log.propose_here(jobs::start_runs{{{{first_task_of(1), 1}, first_server, 1}}});
+    leader.run_for(500ms);
+    CHECK(worker.starts.empty());
+    const jobs::task* t = leader.log.state().find(first_task_of(1));
+    CHECK(t->phase == jobs::task_phase::waiting);
+    CHECK(t->failed_runs == 0);
+    CHECK(leader.driver.servers().at(first_server).used == jobs::resources{});
+}
+
 TEST_CASE("capacity: a batch of starts that is proposed twice starts each run once")
 {
     scheduling_leader leader;
