Scheduler: a server that refused a start for lack of capacity gets none until it reports

A server whose capacity shrinks refuses starts until its next report has reached the leader. It was offered the waiting tasks again every 0.4 s, each time as many as seemed to fit. Refused starts are priced, and each takes two entries of the log.

The refusal shows that the last report is out of date, so the server is left out until it sends another one. Tasks are placed on other servers meanwhile; no attempt counts as failed.

Failed before: in 1.5 s without a report, CHECK( worker.starts.size() <= 2 ) is NOT correct, values: CHECK( 8 <= 2 ).

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -48,6 +48,9 @@
     if (now < view.refused_until) {
         return "refused_a_start";
     }
+    if (view.capacity_outdated) {
+        return "capacity_outdated";
+    }
     const bool polled = view.clock.lower_bound(now) && (view.fenced || view.runs.empty());
     return polled ? std::string_view{} : "not_polled";
 }
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -108,6 +108,7 @@
         reset_after_restart(view);
     }
     view.report = report;
+    view.capacity_outdated = false;
     view.last_report_at = std::max(view.last_report_at, reported_at);
     view.clock.record_reading(report.clock_ms, reported_at);
     if (changed) {
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -174,6 +174,7 @@
                {"answer", name_of(reply.result)},
                {"after_ms", std::chrono::duration_cast<milliseconds>(now - sent).count()}});
     view.refused_until = now + refusal_backoff;
+    view.capacity_outdated = view.capacity_outdated || reply.result == order_result::no_room;
     if (reply.result == order_result::unknown) {
         // The run may have started; it is stopped only if a later poll does not list it.
         ++view.misses;
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -107,6 +107,8 @@
     bool has_shut_down{false};
     /** Gets no new runs before this time, since it did not accept a start. */
     mono_time refused_until{};
+    /** The server refused a start for lack of capacity, so its last report is out of date. */
+    bool capacity_outdated{false};
     /** Excluded from new runs because of maintenance or a move of its machine. */
     bool cordoned{false};
     /** Being drained for maintenance that has not begun: gets only long-running tasks that have
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -101,3 +101,32 @@
     CHECK(leader.driver.servers().at(first_server).used == make_short_step().need);
     CHECK(leader.driver.servers().at(second_server).used == jobs::resources{});
 }
+
+TEST_CASE("capacity: a server that refused a start for lack of capacity gets none until it reports")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 4};
+    worker.start_refusal = "room";
+    leader.add_server("i-1", base_port + 4);
+    leader.withhold_reports = true;
+    leader.submit(1, make_short_step());
+    leader.submit(2, make_long_running_step(1));
+    REQUIRE(leader.run_until([&] { return !worker.starts.empty(); }, 1s));
+    leader.run_for(1500ms);
+    CHECK(worker.starts.size() <= 2);
+    const auto refused = worker.starts.size();
+    // The report is older than the change, so that the server refuses once more.
+    leader.send_reports();
+    leader.run_for(1s);
+    CHECK(worker.starts.size() <= 2 * refused);
+    // Tasks start elsewhere meanwhile, and on the server once it reports that it has capacity.
+    fake_worker second_worker{leader.loop, base_port + 5};
+    leader.add_server("i-2", base_port + 5);
+    CHECK(leader.run_until([&] { return leader.is_running(1) && leader.is_running(2); }, 1s));
+    worker.start_refusal = "";
+    leader.send_reports();
+    leader.submit(3, make_long_running_step(2));
+    CHECK(leader.run_until([&] { return !leader.driver.servers().at(first_server).runs.empty(); },
+                           1s));
+    CHECK(leader.log.state().find(first_task_of(1))->failed_runs == 0);
+}
