Scheduler: a run that the log does not know takes capacity until it has ended

A run that a poll lists and the log does not know is sent a stop, and takes capacity until it has ended. If no other run was on the server, it was not polled again, and a stop that got no answer was not repeated.

How much such a run takes need not be known any more, so its server gets no new runs until a poll lists none. A server with such a run, and one that has just refused a start for lack of capacity, is polled even if the log has no runs there.

Failed before: CHECK_FALSE( leader.is_running(2) ) is NOT correct, twice.

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -51,6 +51,9 @@
     if (view.capacity_outdated) {
         return "capacity_outdated";
     }
+    if (view.unknown_runs > 0) {
+        return "unknown_runs";
+    }
     const bool polled = view.clock.lower_bound(now) && (view.fenced || view.runs.empty());
     return polled ? std::string_view{} : "not_polled";
 }
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -138,6 +138,7 @@
     view.acknowledged_end = 0;
     view.last_collected_end = 0;
     view.fenced = false;
+    view.unknown_runs = 0;
     view.misses = 0;
     view.has_shut_down = false;
     view.cordoned = false;
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -22,7 +22,8 @@
 
 bool run_driver::poll_due(const server_view& view, mono_time now) const
 {
-    const bool needs_poll = !view.runs.empty() || view.misses > 0;
+    const bool needs_poll =
+        !view.runs.empty() || view.misses > 0 || view.unknown_runs > 0 || view.capacity_outdated;
     return needs_poll && !view.poll_in_flight && !view.has_shut_down &&
            !view.report.address.empty() && now >= view.next_poll;
 }
@@ -128,6 +129,7 @@
 void run_driver::apply_active_runs(server_view& view, const poll_reply& reply)
 {
     const mono_time now = context_.now();
+    view.unknown_runs = 0;
     for (const active_run& a : reply.active) {
         run_view* run = find_run(view.report.id, a.run);
         if (run == nullptr) {
@@ -135,6 +137,7 @@
             log::info("stray_run", {{"task", a.run.task.text()},
                                     {"attempt", a.run.attempt},
                                     {"server", view.report.id.str()}});
+            ++view.unknown_runs;
             send_order(view, stop_order{a.run, term_}, [](server_answer&& /*answer*/) {});
             continue;
         }
--- a/src/fleet/server_view.cpp
+++ b/src/fleet/server_view.cpp
@@ -33,6 +33,7 @@
 void server_view::clear_runs() noexcept
 {
     runs.clear();
+    unknown_runs = 0;
     used = {};
     long_running_count = 0;
     latency_limited_count = 0;
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -107,6 +107,9 @@
     bool has_shut_down{false};
     /** Gets no new runs before this time, since it did not accept a start. */
     mono_time refused_until{};
+    /** Runs in the last poll that the log does not know. They take capacity until they have ended,
+     * but how much is not known, so the server gets no new runs meanwhile. */
+    std::size_t unknown_runs{0};
     /** The server refused a start for lack of capacity, so its last report is out of date. */
     bool capacity_outdated{false};
     /** Excluded from new runs because of maintenance or a move of its machine. */
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -130,3 +130,27 @@
                            1s));
     CHECK(leader.log.state().find(first_task_of(1))->failed_runs == 0);
 }
+
+TEST_CASE("capacity: a run that the log does not know takes capacity until the server has ended it")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 6};
+    worker.stops_take_long = true;
+    leader.set_enforces_capacity(false);
+    leader.add_server("i-1", base_port + 6, {10'000, 10'000, 0});
+    leader.submit(1, make_long_running_step(1));
+    REQUIRE(leader.run_until([&] { return leader.is_running(1); }, 1s));
+    const std::string stray = "00000000000000ff.0.0.0";
+    worker.add_stray_run(stray);
+    leader.run_for(1s);
+    leader.submit(2, make_short_step());
+    leader.run_for(1s);
+    CHECK_FALSE(leader.is_running(2));
+    // The server still has to be polled once none of the log's runs is left on it.
+    leader.log.propose_here(jobs::cancel_job{jobs::job_id{1}, wall_now()});
+    worker.end_run(first_task_of(1).text());
+    leader.run_for(1s);
+    CHECK_FALSE(leader.is_running(2));
+    worker.end_run(stray);
+    CHECK(leader.run_until([&] { return leader.is_running(2); }, 2s));
+}
