Scheduler: servers that do not enforce their capacity get starts only on recent reports

A capacity that has shrunk counts contact_ms and one report period later, 4.5 s on the users' platform. The leader used a report for 4.5 s from its arrival, and the report may have been on its way for a second before, and the start for some time after. A new leader took every report that it had ever received for as old as its own term.

Pools whose servers start whatever they are told (enforces_capacity false) now need a report younger than contact_ms and a report period less 1.1 s, at placement and again when the start is sent. Both times are settings, taken from the platform's settings file. The time of a report is kept as it was over a change of leader, and passed on as it was, so a new leader waits for each server's next report, at most a report period. Such servers still count in the pool's load; otherwise each change of leader would move machines. Nothing changes for servers that enforce their capacity.

--- a/include/fescuestream/jobs/document.h
+++ b/include/fescuestream/jobs/document.h
@@ -116,6 +116,9 @@
     const queue* route(std::string_view host, std::string_view path) const;
     /** @return the account that the API key belongs to, or nullptr. */
     const team_id* owner_of(std::string_view key) const;
+    /** @return whether the pool's servers refuse tasks that exceed their capacity; false if the
+     * pool is unknown. */
+    bool enforces_capacity(const pool_id& pool) const;
 
     template <class Archive>
     void serialize(Archive& archive)
--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -33,6 +33,10 @@
     /** Time for which a machine is unavailable during a move, and during maintenance. */
     std::int64_t move_ms{1500};
     std::int64_t maintenance_ms{2000};
+    /** Interval between two reports of a backend server. */
+    std::int64_t report_period_ms{1500};
+    /** Time allowed for a change to become known to the instances. */
+    std::int64_t contact_ms{3000};
 };
 
 struct machine_service {
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "run_timing.h"
 #include "scope_timer.h"
 
 #include "fescuestream/base/log.h"
@@ -267,13 +268,24 @@
     const auto& state = context_.state();
     for (const auto& [id, view] : driver_.servers()) {
         std::string_view reason = exclusion_reason(view, round.now);
-        if (reason.empty() && state.out_of_service.contains(view.report.data_centre)) {
+        const bool capacity_unconfirmed =
+            reason.empty() && !state.doc.enforces_capacity(view.report.pool) &&
+            !view.capacity_is_recent(round.now, max_capacity_age(context_.settings.bounds));
+        if (capacity_unconfirmed) {
+            reason = "capacity_unconfirmed";
+        } else if (reason.empty() && state.out_of_service.contains(view.report.data_centre)) {
             reason = "out_of_service";
         } else if (reason.empty() && health_.is_backed_off(id, round.now)) {
             reason = "backed_off";
         }
         round.availability[view.report.pool].push_back(
             {&view, reason.empty() && view.draining ? "draining" : reason});
+        if ((reason.empty() || capacity_unconfirmed) && !view.draining) {
+            pool_load& load = loads_[view.report.pool];
+            load.capacity_cpu += view.report.capacity.cpu_milli;
+            load.free_cpu += view.free().cpu_milli;
+            ++load.servers;
+        }
         if (!reason.empty()) {
             continue;
         }
@@ -290,12 +302,6 @@
         }
         c.maintenance_due = view.maintenance_due;
         c.draining = view.draining;
-        if (!view.draining) {
-            pool_load& load = loads_[view.report.pool];
-            load.capacity_cpu += view.report.capacity.cpu_milli;
-            load.free_cpu += c.free.cpu_milli;
-            ++load.servers;
-        }
         round.servers[view.report.pool].push_back(std::move(c));
     }
 }
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -110,6 +110,7 @@
     view.report = report;
     view.capacity_outdated = false;
     view.last_report_at = std::max(view.last_report_at, reported_at);
+    view.reported_at = std::max(view.reported_at, reported_at);
     view.clock.record_reading(report.clock_ms, reported_at);
     if (changed) {
         log::info("server_seen", {{"server", report.id.str()},
@@ -221,7 +222,11 @@
     }
     server_view& view = servers_[cmd.server];
     const jobs::resources need = context_.state().find_step_spec(task)->required_capacity();
-    const bool has_capacity = need.fits(view.free());
+    const mono_time now = context_.now();
+    const bool has_capacity =
+        need.fits(view.free()) &&
+        (context_.state().doc.enforces_capacity(view.report.pool) ||
+         view.capacity_is_recent(now, max_capacity_age(context_.settings.bounds)));
     run_view run;
     run.attempt = cmd.run.attempt;
     run.ordered_at = context_.now();
@@ -233,7 +238,7 @@
         return;
     }
     if (!has_capacity) {
-        propose_end(cmd.run, run_outcome::not_begun, "", "capacity_shrank_before_the_order");
+        propose_end(cmd.run, run_outcome::not_begun, "", "no_capacity_before_the_order");
         return;
     }
     send_start(view, task, added);
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -51,6 +51,16 @@
 /** A server without runs is removed after this time without a report. */
 inline constexpr milliseconds forget_after{10'000};
 
+/** A start is sent to a server that does not enforce its capacity only if the server's last report
+ * is younger than this. The platform allows for the contact time and one report period until a
+ * smaller capacity counts; a report takes up to a second until it has been forwarded to the leader,
+ * and the start order is on its way for up to a tenth of a second. */
+inline milliseconds max_capacity_age(const settings::job_bounds& bounds)
+{
+    constexpr milliseconds max_transit_time{1100};
+    return milliseconds{bounds.contact_ms + bounds.report_period_ms} - max_transit_time;
+}
+
 inline std::int64_t effective_run_lease_ms(const settings::job_bounds& bounds)
 {
     return std::min(run_lease_ms, bounds.max_lease_ms);
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -258,7 +258,7 @@
         wire::server_reports update;
         for (const auto& [id, view] : runs->servers()) {
             const auto age =
-                std::chrono::duration_cast<milliseconds>(loop.now() - view.last_report_at);
+                std::chrono::duration_cast<milliseconds>(loop.now() - view.reported_at);
             if (!view.has_shut_down && !view.report.address.empty()) {
                 update.reports.push_back({to_bytes(view.report), age.count()});
             }
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -85,6 +85,9 @@
 struct server_view {
     jobs::server_report report;
     mono_time last_report_at{};
+    /** Time of the last report that reached this instance. Unlike last_report_at, it is not reset
+     * by a change of leader. */
+    mono_time reported_at{};
     server_clock clock;
     /** The server has seen this leader's fencing token, and its lists have been read since. */
     bool fenced{false};
@@ -130,6 +133,12 @@
     bool reachable() const noexcept { return misses == 0 && !has_shut_down; }
     /** @return whether a long-running task that started within the window is not at full work. */
     bool has_starting_task(mono_time now, milliseconds window) const noexcept;
+    /** @return whether the reported capacity is recent enough for a server that starts whatever it
+     * is told to. */
+    bool capacity_is_recent(mono_time now, milliseconds max_age) const noexcept
+    {
+        return now - reported_at < max_age;
+    }
     /** @return whether every lease on the server has certainly expired. */
     bool is_lease_expired(mono_time now) const noexcept;
     jobs::resources free() const noexcept { return report.capacity - used; }
--- a/src/jobs/document.cpp
+++ b/src/jobs/document.cpp
@@ -28,6 +28,12 @@
     return nullptr;
 }
 
+bool document::enforces_capacity(const pool_id& pool) const
+{
+    const auto found = pools.find(pool);
+    return found != pools.end() && found->second.enforces_capacity;
+}
+
 std::optional<std::string> find_error(const document& doc)
 {
     std::set<std::pair<std::string, std::string>> routes;
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -53,6 +53,8 @@
     };
     ms("longest_lease_ms", out.max_lease_ms);
     ms("machine_lease_ms", out.machine_lease_ms);
+    ms("report_period_ms", out.report_period_ms);
+    ms("contact_ms", out.contact_ms);
     const auto seconds = [&](const char* field, std::int64_t& out_ms) {
         const double value_s =
             reader.real(field, 0, max_duration_ms, static_cast<double>(out_ms) / 1000.0);
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -154,3 +154,35 @@
     worker.end_run(stray);
     CHECK(leader.run_until([&] { return leader.is_running(2); }, 2s));
 }
+
+TEST_CASE(
+    "capacity: a server of a pool that does not enforce it gets starts only on recent reports")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 7};
+    leader.add_server("i-1", base_port + 7);
+    leader.withhold_reports = true;
+    SUBCASE("while the leader stays the same")
+    {
+        leader.run_for(3700ms);
+    }
+    SUBCASE("after a change of leader")
+    {
+        leader.driver.on_leadership_lost();
+        leader.run_for(3700ms);
+        leader.driver.on_leadership_gained();
+        leader.work.on_leadership_gained();
+    }
+    leader.submit(1, make_short_step());
+    // The servers of this pool refuse what exceeds their capacity.
+    CHECK(leader.run_until([&] { return leader.is_running(1); }, 300ms));
+    leader.set_enforces_capacity(false);
+    leader.submit(2, make_short_step());
+    leader.run_for(300ms);
+    CHECK_FALSE(leader.is_running(2));
+    leader.log.propose_here(jobs::start_runs{{{{first_task_of(2), 1}, first_server, 1}}});
+    leader.run_for(300ms);
+    CHECK(worker.starts == std::vector<std::string>{first_task_of(1).text()});
+    leader.send_reports();
+    CHECK(leader.run_until([&] { return leader.is_running(2); }, 300ms));
+}
