Scheduler: a new incarnation of a server gets no start before its own report

If a poll was answered by a new incarnation before its first report arrived, the leader continued with the capacity of the old one, and counted it as just reported. The new incarnation may be of another kind, with less capacity.

Its capacity is unknown until then, so nothing is placed on it.

Failed before: CHECK( worker.starts.empty() ) is NOT correct.

--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -82,6 +82,8 @@
             report.incarnation_id = lists.incarnation_id;
             report.sequence = 0;
             report.clock_ms = lists.clock_ms;
+            // The new incarnation may be of another kind; nothing starts before its own report.
+            report.capacity = {};
             on_report(report);
         }
         return;
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -186,3 +186,20 @@
     leader.send_reports();
     CHECK(leader.run_until([&] { return leader.is_running(2); }, 300ms));
 }
+
+TEST_CASE("capacity: a new incarnation gets no start before its own report")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 8};
+    leader.add_server("i-1", base_port + 8);
+    leader.submit(1, make_long_running_step(1));
+    REQUIRE(leader.run_until([&] { return leader.is_running(1); }, 1s));
+    leader.withhold_reports = true;
+    worker.end_run(first_task_of(1).text());
+    worker.born = 2;
+    const server_view& view = leader.driver.servers().at(first_server);
+    REQUIRE(leader.run_until([&] { return view.report.incarnation_id == 2; }, 2s));
+    worker.starts.clear();
+    leader.run_for(500ms);
+    CHECK(worker.starts.empty());
+}
