Pool planner: a machine counts with the capacity that its server reports

An idle machine whose server has little or no capacity left at present was moved to a pool short of capacity as if it had what the machine list shows. The pool stayed short, and the move was paid for nothing.

Failed before: CHECK( nlohmann::json::parse(service.order_bodies[0])["machine"] == "m-2" ) is NOT correct, values: CHECK( "m-1" == m-2 ), where the server on m-1 reports no CPU.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -253,7 +253,9 @@
                                           !server->report.leaving && server->report.pool == m.pool);
         if (is_usable) {
             const bool idle = server == nullptr || server->runs.empty();
-            out.push_back({id, m.pool, m.capacity.cpu_milli, idle});
+            // The list shows the capacity of the machine, not what its server may use at present.
+            const auto& capacity = is_off ? m.capacity : server->report.capacity;
+            out.push_back({id, m.pool, capacity.cpu_milli, idle});
         }
     }
     return out;
--- a/src/scheduler/pool_plan.cpp
+++ b/src/scheduler/pool_plan.cpp
@@ -92,7 +92,7 @@
         for (auto at = idle_machines.begin();
              at != idle_machines.end() && missing > 0 && moves < policy_.max_moves_per_pool;) {
             const pool_need* from = find_pool(pools, at->pool);
-            const bool can_move = from != nullptr && from->pool != p.pool &&
+            const bool can_move = from != nullptr && from->pool != p.pool && at->cpu > 0 &&
                                   (from->standby || surplus[at->pool] >= at->cpu);
             if (!can_move) {
                 ++at;
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -203,3 +203,18 @@
     leader.run_for(500ms);
     CHECK(worker.starts.empty());
 }
+
+TEST_CASE("machines: a machine counts with the capacity that its server reports")
+{
+    scheduling_leader leader;
+    fake_worker worker{leader.loop, base_port + 9};
+    fake_worker second_worker{leader.loop, base_port + 10};
+    fake_machine_service service{leader.loop, base_port + 11};
+    service.machines = {{"m-1", "i-1"}, {"m-2", "i-2"}};
+    leader.use_machine_service(base_port + 11);
+    leader.add_server("i-1", base_port + 9, {0, 64'000, 0});
+    leader.add_server("i-2", base_port + 10);
+    leader.submit(1, make_short_step(), other_pool);
+    REQUIRE(leader.run_until([&] { return !service.orders.empty(); }, 2s));
+    CHECK(nlohmann::json::parse(service.order_bodies[0])["machine"] == "m-2");
+}
