Pool planner: long-running tasks that no server of their pool can take bring in a machine

A long-running task waited although the fleet was idle (LOST); the log showed `long_running_task_waits ... servers=no_answer:10,runs_the_step:2`. The servers of its pool that answered had free CPU, but ran its step already, as often as the step allows on one server. The planner compares the CPU that a pool needs and has, saw no shortage, and moved no machine in. The same holds for a label that no server of the pool has, and for tasks that fit on no server although their sum fits. (Racks are preferences at placement, so they keep no task waiting.)

Long-running tasks that have found no server for 1 s are now part of a pool's need, with their label, their resources and their limit per server. The planner places them on the machines that are being moved to the pool, and orders another one for each server that is still missing, if its labels and its capacity are suitable. Shorter waits, such as the one after a refused start, are not worth a move. `move_order` shows these moves as why=short_of_servers; `long_running_task_waits` tells servers that lack the label from those that are available.

Limits: only idle machines move, as before; the steps of jobs that are not long-running are not considered.

--- a/include/fescuestream/scheduler/pool_plan.h
+++ b/include/fescuestream/scheduler/pool_plan.h
@@ -10,9 +10,14 @@
  * work arrives faster than a pool can process it, before a backlog builds up. Machines that are
  * powered off in the standby pool are used first, and excess machines return to standby once they
  * have been idle for as long as a move costs.
+ *
+ * CPU alone does not show whether a pool can run its long-running tasks: a step may limit its tasks
+ * per server or require a label. Tasks that no server of their pool can take are therefore part of
+ * the demand, and machines that could run them move to the pool even if it has free CPU.
  */
 
 #include "fescuestream/base/ids.h"
+#include "fescuestream/jobs/model.h"
 
 #include <map>
 #include <string>
@@ -20,6 +25,23 @@
 
 namespace fescue::scheduler {
 
+/** What a server offers to tasks. */
+struct server_offer {
+    jobs::resources capacity;
+    std::vector<std::string> labels;
+};
+
+/** Waiting tasks of a long-running step that no server of their pool can take. */
+struct unplaced_tasks {
+    /** Label that the server must have; empty allows any server. */
+    std::string label;
+    /** Capacity that one task takes. */
+    jobs::resources need;
+    /** Maximum number of the step's tasks on one server; 0 means no limit. */
+    std::uint32_t max_per_server{0};
+    std::size_t tasks{0};
+};
+
 /** A pool's demand and capacity. */
 struct pool_need {
     pool_id pool;
@@ -34,13 +56,16 @@
     /** Machines of the pool before any moves. */
     std::size_t own_machines{0};
     std::size_t machines{0};
+    std::vector<unplaced_tasks> unplaced;
+    /** Servers that are being moved to the pool. */
+    std::vector<server_offer> arriving;
 };
 
 /** A machine that may be moved. */
 struct movable_machine {
     std::string id;
     pool_id pool;
-    std::int64_t cpu{0};
+    server_offer offer;
     /** No task is running on it. */
     bool idle{true};
 };
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -26,6 +26,9 @@
 /** A long-running task that has waited this long may start on a server that is being drained. The
  * platform tolerates a wait of 3 s. */
 constexpr milliseconds max_wait_for_drain{2000};
+/** A long-running task that has waited this long needs another machine in its pool. Obstacles that
+ * pass sooner, such as the wait after a refused start, are not worth a move. */
+constexpr milliseconds max_wait_before_move{1000};
 /** A server whose last report is older than this (three report periods) gets no new runs. */
 constexpr milliseconds report_timeout{4500};
 /** A batch of starts not applied within this time is assumed lost in a change of leader. */
@@ -412,11 +415,7 @@
 void dispatcher::start_tasks(scheduling_round& round, const pool_id& pool)
 {
     const scope_timer timing{"start_tasks"};
-    const auto found = round.servers.find(pool);
-    if (found == round.servers.end()) {
-        return;
-    }
-    auto& servers = found->second;
+    auto& servers = round.servers[pool];
     std::size_t unplaced = 0;
     for (const queued_job& s : round.waiting.at(pool)) {
         if (round.batch.runs.size() >= round.max_starts || unplaced >= max_unplaced_jobs) {
@@ -442,6 +441,23 @@
     }
 }
 
+void dispatcher::record_unplaced_tasks(const scheduling_round& round, const task_id& first,
+                                       const jobs::step_spec& spec,
+                                       const std::vector<jobs::task>& tasks)
+{
+    scheduler::unplaced_tasks unplaced{spec.label, spec.required_capacity(), spec.max_per_server};
+    for (task_id task = first; task.index < tasks.size(); ++task.index) {
+        const bool waits = tasks[task.index].phase == jobs::task_phase::waiting;
+        if (waits && waiting_tasks_.waiting_time(task, round.now) >= max_wait_before_move) {
+            ++unplaced.tasks;
+        }
+    }
+    if (unplaced.tasks > 0) {
+        const jobs::job& j = context_.state().jobs.at(first.job);
+        loads_[context_.state().current_terms(j).pool].unplaced.push_back(std::move(unplaced));
+    }
+}
+
 void dispatcher::start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                             std::uint32_t occurrence, std::uint32_t step,
                             std::vector<server_candidate>& servers)
@@ -490,6 +506,9 @@
         const bool allowed = within_account_cap(round, j.account, spec.need);
         const auto chosen = allowed ? scheduler::choose(servers, spec, hints) : std::nullopt;
         if (!chosen) {
+            if (allowed && spec.long_running) {
+                record_unplaced_tasks(round, task, spec, tasks);
+            }
             if (spec.gang) {
                 round.batch.runs.resize(starts_before);
                 servers = servers_before;
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -13,6 +13,7 @@
 #include "fescuestream/scheduler/arrival_rate.h"
 #include "fescuestream/scheduler/job_order.h"
 #include "fescuestream/scheduler/placement.h"
+#include "fescuestream/scheduler/pool_plan.h"
 #include "fescuestream/scheduler/run_times.h"
 #include "fescuestream/scheduler/server_health.h"
 #include "fescuestream/scheduler/start_limits.h"
@@ -34,6 +35,8 @@
     /** CPU that the tasks which may start now would take. */
     std::int64_t startable_cpu{0};
     std::size_t servers{0};
+    /** Long-running tasks for which no server of the pool was found. */
+    std::vector<scheduler::unplaced_tasks> unplaced;
     /** CPU needed to keep up with the present arrival rate. */
     std::int64_t arrival_cpu{0};
 };
@@ -70,6 +73,9 @@
     void start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                     std::uint32_t occurrence, std::uint32_t step,
                     std::vector<scheduler::server_candidate>& servers);
+    /** Records the step's tasks from this index on that have waited for a server in vain. */
+    void record_unplaced_tasks(const scheduling_round& round, const jobs::task_id& first,
+                               const jobs::step_spec& spec, const std::vector<jobs::task>& tasks);
     bool within_account_cap(const scheduling_round& round, const team_id& account,
                             const jobs::resources& need) const;
     void record_run_ends(const jobs::end_runs& cmd);
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -218,6 +218,7 @@
             need.capacity_cpu = l.capacity_cpu;
             need.demand_cpu = l.capacity_cpu - l.free_cpu + l.startable_cpu;
             need.arrival_cpu = l.arrival_cpu + l.long_running_cpu;
+            need.unplaced = l.unplaced;
         }
         out.push_back(need);
     }
@@ -233,7 +234,10 @@
             continue;
         }
         ++need->machines;
-        need->capacity_cpu += moving ? m.capacity.cpu_milli : 0;
+        if (moving) {
+            need->capacity_cpu += m.capacity.cpu_milli;
+            need->arriving.push_back({m.capacity, m.labels});
+        }
     }
     return out;
 }
@@ -255,7 +259,7 @@
             const bool idle = server == nullptr || server->runs.empty();
             // The list shows the capacity of the machine, not what its server may use at present.
             const auto& capacity = is_off ? m.capacity : server->report.capacity;
-            out.push_back({id, m.pool, capacity.cpu_milli, idle});
+            out.push_back({id, m.pool, {capacity, m.labels}, idle});
         }
     }
     return out;
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -187,6 +187,7 @@
     machine_state state{machine_state::down};
     data_centre_id data_centre;
     rack_id rack;
+    std::vector<std::string> labels;
     jobs::resources capacity;
     /** The server that runs on the machine; empty: none. */
     server_id server;
--- a/src/fleet/waiting_tasks.cpp
+++ b/src/fleet/waiting_tasks.cpp
@@ -31,6 +31,10 @@
     if (!s.exclusion.empty()) {
         return s.exclusion;
     }
+    const auto& labels = s.server->report.labels;
+    if (!spec.label.empty() && std::ranges::find(labels, spec.label) == labels.end()) {
+        return "label_missing";
+    }
     if (spec.max_per_server > 0 && count_step_tasks(*s.server, task) >= spec.max_per_server) {
         return "runs_the_step";
     }
--- a/src/scheduler/pool_plan.cpp
+++ b/src/scheduler/pool_plan.cpp
@@ -15,6 +15,28 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+/** Places as many tasks as possible on one more server, and subtracts them.
+ * @return whether any task was placed. */
+bool place_tasks(std::vector<unplaced_tasks>& waiting, const server_offer& server)
+{
+    bool placed = false;
+    jobs::resources free = server.capacity;
+    for (unplaced_tasks& w : waiting) {
+        if (!w.label.empty() && std::ranges::find(server.labels, w.label) == server.labels.end()) {
+            continue;
+        }
+        for (std::uint32_t n = 0; w.tasks > 0 && w.need.fits(free); ++n) {
+            if (w.max_per_server > 0 && n == w.max_per_server) {
+                break;
+            }
+            free -= w.need;
+            --w.tasks;
+            placed = true;
+        }
+    }
+    return placed;
+}
+
 } // namespace
 
 std::int64_t target_cpu(const pool_need& need, double headroom) noexcept
@@ -42,7 +64,7 @@
     }
     std::erase_if(idle_records_, [&](const auto& i) { return !idle_ids.contains(i.first); });
     for (const pool_need& p : pools) {
-        if (target_cpu(p, policy_.headroom) > p.capacity_cpu) {
+        if (target_cpu(p, policy_.headroom) > p.capacity_cpu || !p.unplaced.empty()) {
             last_shortage_[p.pool] = now;
         }
     }
@@ -88,20 +110,27 @@
             continue;
         }
         std::int64_t missing = -surplus[p.pool];
+        std::vector<unplaced_tasks> unplaced = p.unplaced;
+        for (const server_offer& server : p.arriving) {
+            place_tasks(unplaced, server);
+        }
         std::size_t moves = 0;
         for (auto at = idle_machines.begin();
-             at != idle_machines.end() && missing > 0 && moves < policy_.max_moves_per_pool;) {
+             at != idle_machines.end() && moves < policy_.max_moves_per_pool;) {
             const pool_need* from = find_pool(pools, at->pool);
-            const bool can_move = from != nullptr && from->pool != p.pool && at->cpu > 0 &&
-                                  (from->standby || surplus[at->pool] >= at->cpu);
-            if (!can_move) {
+            const std::int64_t cpu = at->offer.capacity.cpu_milli;
+            const bool can_move = from != nullptr && from->pool != p.pool && cpu > 0 &&
+                                  (from->standby || surplus[at->pool] >= cpu);
+            const bool adds_server = can_move && place_tasks(unplaced, at->offer);
+            if (!can_move || (missing <= 0 && !adds_server)) {
                 ++at;
                 continue;
             }
-            surplus[at->pool] -= at->cpu;
-            missing -= at->cpu;
+            out.push_back(
+                {at->id, at->pool, p.pool, missing > 0 ? "short_of_room" : "short_of_servers"});
+            surplus[at->pool] -= cpu;
+            missing -= cpu;
             ++moves;
-            out.push_back({at->id, at->pool, p.pool, "short_of_room"});
             at = idle_machines.erase(at);
         }
     }
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -371,7 +371,7 @@
                 if (now_ >= m.arrives_at) {
                     ready += machine_cpu;
                     // Tasks are packed, so the remaining machines are idle.
-                    movable.push_back({name, id, machine_cpu, left <= 0});
+                    movable.push_back({name, id, {{machine_cpu, 0, 0}, {}}, left <= 0});
                     left -= machine_cpu;
                 }
             }
@@ -435,9 +435,10 @@
         {pool_id{"calm"}, false, 10'000, 192'000, 0, 3, 3},
         {pool_id{"off"}, true, 0, 0, 0, 1, 1},
     };
-    const std::vector<movable_machine> machines{{"calm-1", pool_id{"calm"}, 64'000, true},
-                                                {"calm-2", pool_id{"calm"}, 64'000, false},
-                                                {"off-1", pool_id{"off"}, 64'000, true}};
+    const std::vector<movable_machine> machines{
+        {"calm-1", pool_id{"calm"}, {{64'000, 0, 0}, {}}, true},
+        {"calm-2", pool_id{"calm"}, {{64'000, 0, 0}, {}}, false},
+        {"off-1", pool_id{"off"}, {{64'000, 0, 0}, {}}, true}};
     const auto moves = planner.plan(pools, machines, now);
     REQUIRE(moves.size() == 2);
     CHECK(moves[0].machine == "off-1");
