Soak: servers whose capacity varies, with and without enforcing it

Servers that enforce their capacity refuse what does not fit; for the others a start beyond the largest capacity of the last 3 s and one report period is a violation. Soak runs on one machine wait for each other, since they use fixed addresses.

--- a/tests/fakes/worker_farm.cpp
+++ b/tests/fakes/worker_farm.cpp
@@ -2,10 +2,12 @@
  * @file
  * Simulates the platform on loopback: many backend servers in one process, and a load generator
  * that submits jobs. Reports a violation when a task runs twice at the same time, starts again
- * after it completed, or starts before the preceding step completed, and when an accepted job is
- * lost.
+ * after it completed, or starts before the preceding step completed, when an accepted job is lost,
+ * and when a start exceeds the capacity of a server that does not enforce it.
  */
 
+#include "varying_capacity.h"
+
 #include "fescuestream/http/client.h"
 #include "fescuestream/http/server.h"
 #include "fescuestream/jobs/model.h"
@@ -37,6 +39,13 @@
     int task_ms{640};
     /** CPU request of each task, in millicores. */
     int task_cpu{1000};
+    /** CPU capacity of a server, in millicores. */
+    int server_cpu{64'000};
+    /** The capacity of every other server changes while it runs, and its reports are interrupted
+     * now and then. */
+    bool capacity_varies{false};
+    /** Servers refuse starts that exceed their capacity; otherwise such a start is a violation. */
+    bool enforces_capacity{true};
     /** Servers are assigned round-robin to this many data centres. */
     int data_centres{1};
     /** Time for which jobs are submitted; 0: until SIGTERM. */
@@ -47,9 +56,23 @@
 constexpr std::array data_centre_names{"north", "south", "west"};
 /** Runs with this text in their job's spec last until they are stopped, or fail after this time. */
 constexpr std::string_view long_running_spec = "long-running";
+const std::string load_generator_spec(500, 'x');
 constexpr std::int64_t shortest_lifetime_ms = 2'000;
 constexpr std::int64_t longest_lifetime_ms = 9'000;
 constexpr std::int64_t unlimited_ms = 1LL << 40;
+/** CPU request of the tasks whose jobs are submitted by other programs, in millicores. */
+constexpr int foreign_task_cpu = 500;
+constexpr milliseconds report_period{500};
+/** How long a scheduler may assume a capacity that has shrunk: 3 s until it can have learnt of it,
+ * and one report period. */
+constexpr std::int64_t assumable_ms = 3'000 + report_period.count();
+/** Share of the reports of a server with a varying capacity after which no more arrive for a time.
+ */
+constexpr std::uint64_t percentage_of_cuts = 8;
+constexpr std::int64_t min_cut_ms = 500;
+constexpr std::int64_t max_cut_ms = 6'000;
+/** Longest time that a run takes to stop if the capacity varies. */
+constexpr std::int64_t max_stop_ms = 400;
 
 std::int64_t now_ms()
 {
@@ -91,6 +114,8 @@
     }
 
     std::uint64_t starts{0};
+    /** Starts that were refused for lack of capacity. */
+    std::uint64_t refused_starts{0};
     std::uint64_t violations{0};
     std::uint32_t tasks_per_step{1};
 
@@ -109,7 +134,11 @@
     simulated_server(event_loop& loop, http::client& client, execution_checker& checker,
                      const options& opts, int number)
         : loop_{loop}, client_{client}, checker_{checker}, opts_{opts}, number_{number},
-          id_{fmt::format("i-{:04}", number)},
+          id_{fmt::format("i-{:04}", number)}, capacity_{opts.server_cpu,
+                                                         opts.capacity_varies && number % 2 == 1,
+                                                         assumable_ms,
+                                                         opts.seed * 1000 +
+                                                             static_cast<std::uint64_t>(number)},
           incarnation_{wall_now()}, random_{opts.seed + static_cast<std::uint64_t>(number)},
           http_server_{loop, [this](http::exchange_id exchange, http::request&& request) {
                            handle_request(exchange, request);
@@ -122,7 +151,7 @@
             std::exit(1);
         }
         run_timer_ = loop.every(milliseconds{5}, [this] { end_due_runs(); });
-        report_timer_ = loop.every(milliseconds{500}, [this] { send_status_report(); });
+        report_timer_ = loop.every(report_period, [this] { send_status_report(); });
         send_status_report();
     }
 
@@ -133,6 +162,8 @@
         std::int64_t started_at_ms{0};
         std::int64_t duration_ms{1};
         bool long_running{false};
+        std::int64_t cpu{0};
+        bool stopping{false};
     };
     struct finished_run {
         std::uint64_t sequence{0};
@@ -194,15 +225,28 @@
             respond_conflict(exchange, "late");
             return;
         }
+        const std::int64_t now = now_ms();
+        const std::int64_t cpu =
+            body["spec"] == load_generator_spec ? opts_.task_cpu : foreign_task_cpu;
+        if (opts_.enforces_capacity && used_cpu_ + cpu > capacity_.current()) {
+            ++checker_.refused_starts;
+            respond_conflict(exchange, "room");
+            return;
+        }
+        if (used_cpu_ + cpu > capacity_.assumable(now)) {
+            checker_.report_violation(fmt::format("start exceeds the capacity: {} on {}: {} of {}",
+                                                  task, id_, used_cpu_ + cpu,
+                                                  capacity_.assumable(now)));
+        }
         highest_attempt_[task] = attempt;
         checker_.task_started(task, id_);
-        const std::int64_t now = now_ms();
+        used_cpu_ += cpu;
         const bool long_running = body["spec"] == long_running_spec;
         const std::int64_t duration_ms =
             long_running
                 ? std::uniform_int_distribution{shortest_lifetime_ms, longest_lifetime_ms}(random_)
                 : opts_.task_ms;
-        runs_[task] = {attempt, now + duration_ms, now, duration_ms, long_running};
+        runs_[task] = {attempt, now + duration_ms, now, duration_ms, long_running, cpu, false};
         if (long_running) {
             fmt::print("LONG-RUNNING started {} {}\n", task, now);
         }
@@ -214,8 +258,15 @@
         const std::string task = body["task"];
         highest_attempt_[task] = std::max<std::uint32_t>(highest_attempt_[task], body["attempt"]);
         const auto current = runs_.find(task);
-        if (current != runs_.end() && current->second.attempt == body["attempt"]) {
-            finish_run(current, "stopped");
+        if (current != runs_.end() && current->second.attempt == body["attempt"] &&
+            !current->second.stopping) {
+            current->second.stopping = true;
+            current->second.ends_at_ms =
+                now_ms() +
+                (opts_.capacity_varies
+                     ? std::uniform_int_distribution{std::int64_t{0}, max_stop_ms}(random_)
+                     : 0);
+            end_due_runs();
         }
         respond(exchange, 200, with_identity({}));
     }
@@ -258,6 +309,7 @@
         finished_runs_.push_back(
             {++last_finished_sequence_, position->first, position->second.attempt, outcome});
         checker_.task_ended(position->first, std::string_view{outcome} == "done");
+        used_cpu_ -= position->second.cpu;
         if (position->second.long_running) {
             fmt::print("LONG-RUNNING {} {} {}\n", outcome, position->first, now_ms());
         }
@@ -267,11 +319,14 @@
     void end_due_runs()
     {
         const std::int64_t now = now_ms();
+        capacity_.advance(now);
         for (auto position = runs_.begin(); position != runs_.end();) {
             if (now > lease_until_ms_) {
                 position = finish_run(position, "lapsed");
             } else if (now >= position->second.ends_at_ms) {
-                position = finish_run(position, position->second.long_running ? "failed" : "done");
+                position = finish_run(position, position->second.stopping       ? "stopped"
+                                                : position->second.long_running ? "failed"
+                                                                                : "done");
             } else {
                 ++position;
             }
@@ -285,8 +340,27 @@
         });
     }
 
+    /** @return whether this report fails to reach the schedulers, as in a cut of a few seconds. */
+    bool report_is_lost()
+    {
+        if (!has_varying_capacity()) {
+            return false;
+        }
+        const std::int64_t now = now_ms();
+        if (now >= reports_lost_until_ms_ && random_() % 100 < percentage_of_cuts) {
+            reports_lost_until_ms_ =
+                now + std::uniform_int_distribution{min_cut_ms, max_cut_ms}(random_);
+        }
+        return now < reports_lost_until_ms_;
+    }
+
+    bool has_varying_capacity() const { return opts_.capacity_varies && number_ % 2 == 1; }
+
     void send_status_report()
     {
+        if (report_is_lost()) {
+            return;
+        }
         const json body{
             {"service", "pool"},
             {"address", address_},
@@ -295,7 +369,7 @@
             {"slots", 8},
             {"state", "ready"},
             {"warmup_left_ms", 0},
-            {"capacity", {{"cpu", 64000}, {"mem_mb", 131072}, {"gpu", 0}}},
+            {"capacity", {{"cpu", capacity_.current()}, {"mem_mb", 131072}, {"gpu", 0}}},
             {"labels", {"a", fmt::format("r1-{}", number_ / 4)}},
             {"wall_clock_ms", now_ms()},
             {"born", incarnation_},
@@ -320,6 +394,8 @@
     int number_;
     std::string id_;
     std::string address_;
+    fakes::varying_capacity capacity_;
+    std::int64_t used_cpu_{0};
     std::int64_t incarnation_;
     std::mt19937_64 random_;
     http::server http_server_;
@@ -331,6 +407,7 @@
     std::uint64_t report_sequence_{0};
     std::uint64_t highest_fencing_token_{0};
     std::int64_t lease_until_ms_{0};
+    std::int64_t reports_lost_until_ms_{0};
     std::size_t control_index_{0};
     timer_handle run_timer_;
     timer_handle report_timer_;
@@ -375,7 +452,7 @@
                           {"services",
                            {{{"name", "pool"},
                              {"health_path", "/healthz"},
-                             {"enforce_capacity", true},
+                             {"enforce_capacity", opts_.enforces_capacity},
                              {"standby", false}}}},
                           {"limits", json::object()},
                           {"tenants", json::array()}};
@@ -440,7 +517,7 @@
                               {"estimate_ms", opts_.task_ms}};
         json second_step = first_step;
         second_step["depends_on"] = {0};
-        const json body{{"spec", std::string(500, 'x')}, {"steps", {first_step, second_step}}};
+        const json body{{"spec", load_generator_spec}, {"steps", {first_step, second_step}}};
         send("POST", random_entry(), "/j/" + id, body.dump(),
              [this, id, submitted_at_ms](http::client_response&& response) {
                  if (response.status == 200) {
@@ -492,9 +569,10 @@
                 checker_.report_violation("accepted job did not complete: " + id);
             }
         }
-        fmt::print("jobs {} done {} refused {} starts {} p50_ms {} p99_ms {} broken {}\n",
-                   submitted_, latencies_ms_.size(), refused_, checker_.starts, percentile(0.5),
-                   percentile(0.99), checker_.violations);
+        fmt::print("jobs {} done {} refused {} starts {} refused_starts {} p50_ms {} p99_ms {} "
+                   "broken {}\n",
+                   submitted_, latencies_ms_.size(), refused_, checker_.starts,
+                   checker_.refused_starts, percentile(0.5), percentile(0.99), checker_.violations);
         loop_.stop();
     }
 
@@ -525,6 +603,9 @@
                             {"tasks", required_argument, nullptr, 't'},
                             {"task-ms", required_argument, nullptr, 'm'},
                             {"task-cpu", required_argument, nullptr, 'u'},
+                            {"server-cpu", required_argument, nullptr, 'k'},
+                            {"varying-capacity", no_argument, nullptr, 'v'},
+                            {"unenforced-capacity", no_argument, nullptr, 'f'},
                             {"data-centres", required_argument, nullptr, 'd'},
                             {"seconds", required_argument, nullptr, 'n'},
                             {"seed", required_argument, nullptr, 'x'},
@@ -557,6 +638,15 @@
         case 'u':
             out.task_cpu = std::stoi(optarg);
             break;
+        case 'k':
+            out.server_cpu = std::stoi(optarg);
+            break;
+        case 'v':
+            out.capacity_varies = true;
+            break;
+        case 'f':
+            out.enforces_capacity = false;
+            break;
         case 'd':
             out.data_centres =
                 std::clamp(std::stoi(optarg), 1, static_cast<int>(data_centre_names.size()));
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,16 +2,18 @@
 
 Schedulers, entries and a simulated fleet of backend servers (worker_farm) run as processes of their own. Faults follow
 one another while the load runs: kills, pauses, lost disks and series of planned stops; at the end there is a calm
-time. worker_farm reports a violation when a task runs twice at a time or before its predecessors, or when an
-accepted job is lost or not completed; checks.py judges the answers to callers that keep their connections open, and
-the restarts of long-running tasks.
+time. worker_farm reports a violation when a task runs twice at a time or before its predecessors, when an accepted job
+is lost or not completed, or when a start exceeds the capacity of a server that does not enforce it; checks.py judges
+the answers to callers that keep their connections open, and the restarts of long-running tasks.
 
     soak.py --first 1 --seeds 50            fifty seeds, one after the other
     soak.py --planned --first 1             the same with planned stops as the only faults
+    soak.py --capacity unenforced           with servers whose capacity varies and which start whatever they are told
     soak.py --regression                    the seeds in regression_seeds.txt
 """
 
 import argparse
+import fcntl
 import json
 import os
 import pathlib
@@ -32,6 +34,10 @@
 HERE = pathlib.Path(__file__).resolve().parent
 PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT = 7500, 7501, 7502, 7503
 DATA_CENTRES = ["north", "south", "west"]
+# Arguments of worker_farm. If the capacity varies, the servers are small, so that it matters.
+CAPACITY_ARGS = {"fixed": [], "enforced": ["--varying-capacity", "--server-cpu", "4000"],
+                 "unenforced": ["--varying-capacity", "--server-cpu", "4000", "--unenforced-capacity"]}
+REPORT_PERIOD_MS = 500
 # Long enough for a long-running task to become due.
 CALM_AT_END_SECONDS = checks.CALM_SECONDS + 1.5
 
@@ -58,7 +64,8 @@
             listen["readiness"] = f"{self.address}:{READY_PORT}"
         settings = {"role": "scheduler" if scheduler else "entry", "id": self.address,
                     "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)], "listen": listen, "seeds": seeds,
-                    "first_start": True, "cluster_secret": "soak", "bounds": {"grace_s": checks.GRACE_SECONDS}}
+                    "first_start": True, "cluster_secret": "soak",
+                    "bounds": {"grace_s": checks.GRACE_SECONDS, "report_period_ms": REPORT_PERIOD_MS}}
         if scheduler:
             settings["data_folder"] = str(self.data)
         self.settings_file = folder / f"{self.address}.json"
@@ -97,8 +104,8 @@
 class Run:
     """One seed: the processes, the load, the faults and the judgement."""
 
-    def __init__(self, seed, args, planned, seconds):
-        self.seed, self.args, self.planned, self.seconds = seed, args, planned, seconds
+    def __init__(self, seed, args, planned, seconds, capacity):
+        self.seed, self.args, self.planned, self.seconds, self.capacity = seed, args, planned, seconds, capacity
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         seeds = [address(i) for i in range(args.schedulers)]
         count = args.schedulers + args.entries
@@ -111,6 +118,7 @@
     def start_farm(self):
         args = [BUILD / "tests/worker_farm", "--servers", "10", "--rate", "6", "--tasks", "4", "--task-ms", "300",
                 "--seconds", "0", "--seed", str(self.seed), "--first-port", "21000"]
+        args += CAPACITY_ARGS[self.capacity]
         for i in self.schedulers:
             args += ["--control", f"{i.address}:{CONTROL_PORT}"]
         for i in self.entries:
@@ -183,14 +191,14 @@
         (self.folder / "report.txt").write_text("\n".join(violations + lines) + "\n")
 
 
-def run_seed(seed, args, planned, seconds):
-    run = Run(seed, args, planned, seconds)
+def run_seed(seed, args, planned, seconds, capacity):
+    run = Run(seed, args, planned, seconds, capacity)
     violations = run.play()
     judged = [r for r in run.callers.requests if checks.is_judged(r, run.injector.faults)]
     summary = " ".join(re.findall(r"^jobs .*", run.farm_output.read_text(), re.MULTILINE))
     mode = "planned" if planned else "mixed"
-    print(f"seed {seed} {mode}: {'FAILED' if violations else 'passed'}: {len(run.injector.faults)} faults, "
-          f"{len(judged)} of {len(run.callers.requests)} requests judged, "
+    print(f"seed {seed} {mode}, {capacity} capacity: {'FAILED' if violations else 'passed'}: "
+          f"{len(run.injector.faults)} faults, {len(judged)} of {len(run.callers.requests)} requests judged, "
           f"{len(run.callers.long_running) * LONG_RUNNING_TASKS} long-running tasks; {summary}", flush=True)
     for v in violations:
         print(f"  VIOLATION {v}", flush=True)
@@ -203,10 +211,10 @@
 
 
 def regression_seeds():
-    """(seed, whether only planned stops are injected, seconds with faults) of each line."""
+    """(seed, whether only planned stops are injected, seconds with faults, capacity) of each line."""
     lines = (HERE / "regression_seeds.txt").read_text().splitlines()
     fields = [line.split() for line in lines if line.strip() and not line.startswith("#")]
-    return [(int(f[0]), {"planned": True, "mixed": False}[f[1]], float(f[2])) for f in fields]
+    return [(int(f[0]), {"planned": True, "mixed": False}[f[1]], float(f[2]), f[3]) for f in fields]
 
 
 def main():
@@ -215,6 +223,8 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=16, help="time until the last fault begins")
     parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--capacity", choices=sorted(CAPACITY_ARGS), default="fixed",
+                        help="how the servers' capacity behaves")
     parser.add_argument("--schedulers", type=int, default=3)
     parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--callers", type=int, help="callers of each entry; default: few or many, by the seed")
@@ -222,10 +232,13 @@
     parser.add_argument("--regression", action="store_true")
     parser.add_argument("--keep", action="store_true")
     args = parser.parse_args()
-    seeds = [(s, args.planned, args.seconds) for s in range(args.first, args.first + args.seeds)]
+    seeds = [(s, args.planned, args.seconds, args.capacity) for s in range(args.first, args.first + args.seeds)]
     if args.regression:
         seeds = regression_seeds()
-    failed = [s for s, planned, seconds in seeds if not run_seed(s, args, planned, seconds)]
+    # The processes use fixed addresses and ports; two runs at once would reach each other's.
+    with open(pathlib.Path(tempfile.gettempdir()) / "fescuestream-soak.lock", "w", encoding="ascii") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        failed = [s for s, planned, seconds, capacity in seeds if not run_seed(s, args, planned, seconds, capacity)]
     print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     return 1 if failed else 0
 
