Jobs: count the servers that crash under a task, and give up its job

The replicated state now keeps, for each task, the server incarnations with which runs of it were lost, whether they are known to have crashed, and whether the task was alone there. Two crashes of servers that ran nothing else convict a task, and so do four crashes in any case, since a task that never runs alone must be bounded too; its job ends as failed. Which task crashes a server can't be seen from one crash: all its runs are suspects. The scheduler library gains the placement of suspects: small groups after one crash, alone after several, on at most half of a pool.

--- a/include/fescuestream/jobs/model.h
+++ b/include/fescuestream/jobs/model.h
@@ -194,8 +194,15 @@
     gang_incomplete,
     /** The run never started: the server refused it or can no longer start it. */
     not_begun,
-    /** The server's incarnation ended, or the lease must have expired while it was unreachable. */
+    /** The lease must have expired while the server was unreachable, or the server no longer knows
+     * the run. Whether the server crashed is not known yet. */
     lost,
+    /** As lost, but no reason to suspect the task: the server ended as announced, or it did not
+     * crash, or a long-running task had been at work there. */
+    lost_unsuspected,
+    /** The server's incarnation ended without notice, so the task may have crashed it. Sent for a
+     * run that has already ended as lost, it corrects that outcome; so does lost_unsuspected. */
+    server_crashed,
 };
 
 std::string_view name_of(run_outcome reason) noexcept;
--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -8,6 +8,7 @@
 
 #include "fescuestream/base/error.h"
 #include "fescuestream/jobs/command.h"
+#include "fescuestream/jobs/crash_record.h"
 
 #include <map>
 #include <optional>
@@ -150,6 +151,9 @@
     std::map<job_id, job> jobs;
     std::map<std::string, maintenance_wave> waves;
     std::map<std::string, machine_order> machine_orders;
+    /** Tasks whose runs were lost with a server. Kept for a job given up because of them until the
+     * job is removed. */
+    std::map<task_id, crash_record> crash_records;
 
     // Indexes derived from the fields above; not part of a snapshot.
     /** Jobs that have not ended or still have running tasks. */
@@ -170,10 +174,22 @@
     /** Rebuilds the derived indexes. */
     void rebuild_indexes();
 
+    // The crash records are left out if there are none, as in snapshots of earlier versions.
     template <class Archive>
-    void serialize(Archive& archive)
+    void save(Archive& archive) const
+    {
+        archive(doc, out_of_service, jobs, waves, machine_orders);
+        if (!crash_records.empty()) {
+            archive(crash_records);
+        }
+    }
+    template <class Archive>
+    void load(Archive& archive)
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
+        if (archive.remaining() > 0) {
+            archive(crash_records);
+        }
     }
 };
 
--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -11,12 +11,15 @@
  * move to the next burst or be maintained; a trickle of tasks spread over all servers would prevent
  * that. During a maintenance wave, long-running tasks avoid servers that are still to be
  * maintained; otherwise they would have to move again, and the moves of a step run one after the
- * other. A server that is being drained takes a long-running task only if the task has waited for
- * another one in vain: if all servers of a pool are being drained, its steps wait for each other.
+ * other. Tasks that are suspected of crashing servers run on reserved servers, or where they affect
+ * the fewest other runs. A server that is being drained takes a long-running task only if the task
+ * has waited for another one in vain: if all servers of a pool are being drained, its steps wait
+ * for each other.
  */
 
 #include "fescuestream/jobs/server_report.h"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
@@ -44,8 +47,18 @@
     bool maintenance_due{false};
     /** The server is being drained and takes only tasks that find no other server. */
     bool draining{false};
+    /** Number of runs on the server, and of those that are suspected of crashing servers. */
+    std::size_t runs{0};
+    std::size_t suspects{0};
+    /** One of them is suspected of several crashes: nothing else is started beside it. */
+    bool isolates_suspect{false};
+    /** The server is reserved for suspects. */
+    bool reserved{false};
 };
 
+/** How strongly a task is suspected of crashing servers. */
+enum class suspicion : std::uint8_t { none, one_crash, several_crashes };
+
 /** Placement inputs besides the step's own constraints. */
 struct placement_hints {
     /** Number of the step's tasks per server, to enforce max_per_server. */
@@ -56,6 +69,10 @@
     server_id avoid;
     /** The task has waited so long that it may start on a server that is being drained. */
     bool may_use_draining{false};
+    /** How strongly the task is suspected of crashing servers. */
+    suspicion suspected{suspicion::none};
+    /** The task has waited so long that the reservation of servers does not apply to it. */
+    bool may_share_server{false};
 };
 
 /** @return whether the server may run the step, regardless of free resources. */
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -25,6 +25,14 @@
     return opened;
 }
 
+void remove_crash_records(state& s, const job_id& id)
+{
+    const auto first = s.crash_records.lower_bound(task_id{id, 0, 0, 0});
+    const auto last = std::find_if(first, s.crash_records.end(),
+                                   [&](const auto& entry) { return entry.first.job != id; });
+    s.crash_records.erase(first, last);
+}
+
 /** Frees the spec and the occurrences of an ended job once none of its tasks run. */
 void release_ended_job(state& s, const job_id& id, job& j)
 {
@@ -35,6 +43,9 @@
         j.spec = {};
         j.occurrences.clear();
         s.active_jobs.erase(id);
+        if (j.phase != job_phase::failed) {
+            remove_crash_records(s, id);
+        }
     }
 }
 
@@ -127,14 +138,93 @@
     }
 }
 
+void fail_job_of_culprit(state& s, const task_id& id, wall_ms now)
+{
+    job& j = s.jobs.at(id.job);
+    if (s.crash_records[id].is_culprit() && !has_ended(j.phase)) {
+        end_job(s, id.job, j, job_phase::failed, now);
+    }
+}
+
+/** Applies what became known of the server of a run that has already ended as lost. */
+bool correct_lost_run(state& s, const end_run& cmd, const task& t, wall_ms now)
+{
+    const auto found = s.crash_records.find(cmd.run.task);
+    if (found == s.crash_records.end() || t.phase == task_phase::done) {
+        return false;
+    }
+    if (cmd.outcome == run_outcome::lost_unsuspected) {
+        const bool changed = found->second.dismiss(cmd.run.attempt);
+        if (found->second.empty()) {
+            s.crash_records.erase(found);
+        }
+        return changed;
+    }
+    const bool changed =
+        cmd.outcome == run_outcome::server_crashed && found->second.confirm(cmd.run.attempt);
+    if (changed) {
+        fail_job_of_culprit(s, cmd.run.task, now);
+    }
+    return changed;
+}
+
+/** @return whether the server incarnation of the run has no run of another job. */
+bool is_alone(const state& s, const task_id& id, const task& t)
+{
+    return std::ranges::all_of(s.runs.at(t.server), [&](const task_id& other) {
+        return other.job == id.job || s.find(other)->incarnation_id != t.incarnation_id;
+    });
+}
+
+void record_loss(state& s, const end_run& cmd, const task& t)
+{
+    const task_id& id = cmd.run.task;
+    if (cmd.outcome == run_outcome::server_crashed || cmd.outcome == run_outcome::lost) {
+        const bool alone = is_alone(s, id, t);
+        const bool crashed = cmd.outcome == run_outcome::server_crashed;
+        s.crash_records[id].add({t.attempt, t.server, t.incarnation_id, alone, crashed});
+    } else if (const auto found = s.crash_records.find(id); found != s.crash_records.end()) {
+        found->second.dismiss(t.attempt);
+        if (found->second.empty()) {
+            s.crash_records.erase(found);
+        }
+    }
+}
+
+/** Records that the runs still on a server shared it with a lost run. They may be ended later, when
+ * the others are no longer listed. */
+void record_companions(state& s, const server_id& server, incarnation incarnation_id)
+{
+    const auto found = s.runs.find(server);
+    if (found == s.runs.end()) {
+        return;
+    }
+    for (const task_id& id : found->second) {
+        const task& t = *s.find(id);
+        if (t.incarnation_id == incarnation_id) {
+            s.crash_records[id].add({t.attempt, server, incarnation_id, false, false});
+        }
+    }
+}
+
+/** @return the task if the run that the command ends is its current one, or nullptr. */
+const task* find_current_run(const state& s, const run_id& run)
+{
+    const task* t = s.find(run.task);
+    return t != nullptr && t->phase == task_phase::running && t->attempt == run.attempt ? t
+                                                                                        : nullptr;
+}
+
 bool apply_end_run(state& s, const end_run& cmd, wall_ms now)
 {
     const task_id& id = cmd.run.task;
     task* ended = find_task(s, id);
-    if (ended == nullptr || ended->phase != task_phase::running ||
-        ended->attempt != cmd.run.attempt) {
+    if (ended == nullptr) {
         return false;
     }
+    if (ended->phase != task_phase::running || ended->attempt != cmd.run.attempt) {
+        return correct_lost_run(s, cmd, *ended, now);
+    }
     job& owner = s.jobs.at(id.job);
     step& task_step = owner.occurrences.at(id.occurrence).steps[id.step];
     remove_from_run_index(s, id, *ended, owner);
@@ -150,12 +240,15 @@
     const bool gang_is_done = spec.gang && task_step.done > 0;
     if (succeeded || gang_is_done) {
         mark_task_done(task_step, *ended);
+        s.crash_records.erase(id);
         if (spec.gang) {
             mark_waiting_members_done(task_step);
         }
         complete_occurrence_if_done(s, id, owner, now);
     } else if (cmd.outcome == run_outcome::failed) {
         record_failed_run(s, id, owner, *ended, now);
+    } else if (cmd.outcome == run_outcome::server_crashed) {
+        fail_job_of_culprit(s, id, now);
     }
     release_ended_job(s, id.job, owner);
     return true;
@@ -246,9 +339,22 @@
 outcome apply_command(state& s, const end_runs& cmd)
 {
     bool changed = false;
+    // Before any of the runs ends, since the runs that share a server end together.
+    std::set<std::pair<server_id, incarnation>> lost_servers;
+    for (const end_run& run : cmd.ends) {
+        if (const task* t = find_current_run(s, run.run)) {
+            record_loss(s, run, *t);
+            if (run.outcome == run_outcome::server_crashed || run.outcome == run_outcome::lost) {
+                lost_servers.emplace(t->server, t->incarnation_id);
+            }
+        }
+    }
     for (const end_run& run : cmd.ends) {
         changed = apply_end_run(s, run, cmd.now) || changed;
     }
+    for (const auto& [server, incarnation_id] : lost_servers) {
+        record_companions(s, server, incarnation_id);
+    }
     return {std::nullopt, changed};
 }
 
@@ -295,6 +401,7 @@
         const auto found = s.jobs.find(id);
         if (found != s.jobs.end() && has_ended(found->second.phase) && found->second.running == 0) {
             s.jobs.erase(found);
+            remove_crash_records(s, id);
         }
     }
     return {std::nullopt, true};
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/scheduler/placement.h"
 
+#include "fescuestream/scheduler/suspect_isolation.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -29,6 +31,19 @@
     return remote_from_data || remote_from_step;
 }
 
+bool accepts_suspicion(const server_candidate& c, const placement_hints& hints)
+{
+    if (hints.suspected == suspicion::none) {
+        return !c.reserved || hints.may_share_server;
+    }
+    if (hints.may_share_server && !c.isolates_suspect) {
+        return true;
+    }
+    const bool group_has_room = hints.suspected == suspicion::one_crash && c.suspects == c.runs &&
+                                c.runs < suspects_per_server;
+    return c.reserved && !c.isolates_suspect && (c.runs == 0 || group_has_room);
+}
+
 /** Sort key of a placement; lower is better. */
 auto placement_cost(const server_candidate& c, const jobs::step_spec& step,
                     const placement_hints& hints)
@@ -41,6 +56,7 @@
         step.long_running ? -colocated : -std::min<std::int64_t>(colocated, 1);
     const std::int64_t cpu_left = c.free.cpu_milli - step.need.cpu_milli;
     return std::tuple{c.draining,
+                      hints.suspected == suspicion::none ? 0 : c.runs,
                       is_remote(c, step, hints),
                       c.server->id == hints.avoid,
                       c.consecutive_failures,
@@ -65,7 +81,8 @@
         step.max_per_server > 0 && step_tasks_on(hints, c.server->id) >= step.max_per_server;
     const bool trial_in_progress = c.is_on_trial && c.has_trial_task;
     const bool accepts_step = !c.draining || (step.long_running && hints.may_use_draining);
-    return label_matches && !step_limit_reached && !trial_in_progress && accepts_step;
+    return accepts_suspicion(c, hints) && label_matches && !step_limit_reached &&
+           !trial_in_progress && accepts_step;
 }
 
 std::optional<std::size_t> choose(std::span<const server_candidate> servers,
--- /dev/null
+++ b/tests/unit/crash_suspects_test.cpp
@@ -0,0 +1,351 @@
+#include "fescuestream/jobs/state.h"
+#include "fescuestream/scheduler/suspect_isolation.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace fescue;
+using namespace fescue::jobs;
+using scheduler::server_candidate;
+using scheduler::suspicion;
+
+namespace {
+
+run_loss make_loss(std::uint32_t attempt, bool alone, bool crashed = true)
+{
+    return {attempt, server_id{"s" + std::to_string(attempt)}, 1, alone, crashed};
+}
+
+/** A pool of servers that run tasks, some of which crash each server that starts them. Time passes
+ * in steps of 100 ms. */
+class crashing_pool {
+public:
+    struct simulated_task {
+        bool crashes_servers{false};
+        bool done{false};
+        bool given_up{false};
+        int starts{0};
+        int server{-1};
+        int remaining_steps{0};
+        int duration{0};
+        crash_record record;
+    };
+
+    crashing_pool(std::uint64_t seed, std::size_t server_count, std::size_t task_count,
+                  int culprits)
+        : random_{seed}, servers_(server_count), tasks(task_count)
+    {
+        for (std::size_t i = 0; i < servers_.size(); ++i) {
+            servers_[i].id = server_id{"s" + std::to_string(i)};
+            servers_[i].capacity = {64'000, 64'000, 0};
+        }
+        for (simulated_task& t : tasks) {
+            t.duration = std::uniform_int_distribution<int>{5, 30}(random_);
+        }
+        for (int i = 0; i < culprits; ++i) {
+            tasks[random_() % tasks.size()].crashes_servers = true;
+        }
+    }
+
+    void step()
+    {
+        ++now_;
+        end_runs();
+        start_tasks();
+        for (std::size_t i = 0; i < tasks.size(); ++i) {
+            if (tasks[i].crashes_servers && tasks[i].server >= 0) {
+                crash(tasks[i].server);
+            }
+        }
+    }
+
+    /** Crashes servers at once, as the failure of a rack does. */
+    void crash_rack(int first, int count)
+    {
+        for (int i = first; i < first + count; ++i) {
+            crash(i);
+        }
+    }
+
+    bool is_settled() const
+    {
+        return std::ranges::all_of(tasks,
+                                   [](const simulated_task& t) { return t.done || t.given_up; });
+    }
+
+private:
+    /** Time until a crashed server is back, and until its runs may start elsewhere. */
+    static constexpr int restart_steps = 33;
+    static constexpr int lease_steps = 40;
+
+    struct simulated_server : server_report {
+        int up_at{0};
+    };
+
+    std::vector<std::size_t> runs_on(int server) const
+    {
+        std::vector<std::size_t> out;
+        for (std::size_t i = 0; i < tasks.size(); ++i) {
+            if (tasks[i].server == server) {
+                out.push_back(i);
+            }
+        }
+        return out;
+    }
+
+    void crash(int server)
+    {
+        auto& crashed = servers_[static_cast<std::size_t>(server)];
+        if (now_ < crashed.up_at) {
+            return;
+        }
+        crashed.up_at = now_ + restart_steps;
+        ++crashed.incarnation_id;
+        const auto runs = runs_on(server);
+        for (const std::size_t i : runs) {
+            simulated_task& t = tasks[i];
+            t.record.add({static_cast<std::uint32_t>(t.starts), crashed.id, crashed.incarnation_id,
+                          runs.size() == 1, true});
+            t.server = -1;
+            t.remaining_steps = lease_steps;
+            t.given_up = t.record.is_culprit();
+        }
+    }
+
+    void end_runs()
+    {
+        for (simulated_task& t : tasks) {
+            if (t.remaining_steps > 0 && --t.remaining_steps == 0 && t.server >= 0) {
+                t.server = -1;
+                t.done = true;
+            }
+        }
+    }
+
+    void start_tasks()
+    {
+        std::vector<server_candidate> candidates;
+        std::vector<int> indexes;
+        for (int i = 0; i < static_cast<int>(servers_.size()); ++i) {
+            const auto& s = servers_[static_cast<std::size_t>(i)];
+            if (now_ < s.up_at) {
+                continue;
+            }
+            server_candidate c;
+            c.server = &s;
+            c.free = s.capacity;
+            for (const std::size_t run : runs_on(i)) {
+                c.free -= need_.need;
+                ++c.runs;
+                const auto losses = tasks[run].record.losses().size();
+                c.suspects += losses > 0 ? 1 : 0;
+                c.isolates_suspect = c.isolates_suspect || losses > 1;
+            }
+            candidates.push_back(c);
+            indexes.push_back(i);
+        }
+        scheduler::waiting_suspects waiting;
+        for (const simulated_task& t : tasks) {
+            if (is_waiting(t) && !t.record.empty()) {
+                ++(t.record.losses().size() > 1 ? waiting.of_several_crashes
+                                                : waiting.of_one_crash);
+            }
+        }
+        scheduler::reserve_servers(candidates, waiting);
+        for (simulated_task& t : tasks) {
+            if (is_waiting(t) && t.record.may_start()) {
+                start(t, candidates, indexes);
+            }
+        }
+    }
+
+    static bool is_waiting(const simulated_task& t)
+    {
+        return !t.done && !t.given_up && t.server < 0 && t.remaining_steps == 0;
+    }
+
+    void start(simulated_task& t, std::vector<server_candidate>& candidates,
+               const std::vector<int>& indexes)
+    {
+        scheduler::placement_hints hints;
+        hints.suspected = scheduler::suspicion_of(t.record.losses().size());
+        const auto chosen = scheduler::choose(candidates, need_, hints);
+        if (!chosen) {
+            return;
+        }
+        server_candidate& c = candidates[*chosen];
+        c.free -= need_.need;
+        ++c.runs;
+        c.suspects += hints.suspected == suspicion::none ? 0 : 1;
+        c.isolates_suspect = c.isolates_suspect || hints.suspected == suspicion::several_crashes;
+        ++t.starts;
+        t.server = indexes[*chosen];
+        t.remaining_steps = t.duration;
+    }
+
+    std::mt19937_64 random_;
+    std::vector<simulated_server> servers_;
+    step_spec need_{.need = {5'000, 100, 0}};
+    int now_{0};
+
+public:
+    std::vector<simulated_task> tasks;
+};
+
+} // namespace
+
+TEST_CASE("crash record: two crashes of servers that ran nothing else convict a task")
+{
+    crash_record record;
+    CHECK(record.may_start());
+    record.add(make_loss(1, true));
+    CHECK_FALSE(record.is_culprit());
+    record.add(make_loss(2, true));
+    CHECK(record.is_culprit());
+    CHECK_FALSE(record.may_start());
+}
+
+TEST_CASE("crash record: a task that never runs alone is given up before its sixth start")
+{
+    crash_record record;
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+        record.add(make_loss(attempt, attempt == 2));
+        CHECK_FALSE(record.is_culprit());
+        CHECK(record.may_start());
+    }
+    record.add(make_loss(4, false));
+    CHECK(record.is_culprit());
+}
+
+TEST_CASE("crash record: an incarnation counts once, and only if it is known to have crashed")
+{
+    crash_record record;
+    run_loss loss = make_loss(1, true);
+    record.add(loss);
+    record.add(loss);
+    loss.attempt = 2;
+    record.add(loss);
+    CHECK(record.crashes() == 1);
+    CHECK_FALSE(record.confirm(1));
+
+    crash_record unreachable;
+    for (std::uint32_t attempt = 1; attempt <= 4; ++attempt) {
+        unreachable.add(make_loss(attempt, true, false));
+    }
+    CHECK(unreachable.crashes() == 0);
+    CHECK_FALSE(unreachable.is_culprit());
+    // It would be a culprit if all of these servers had crashed.
+    CHECK_FALSE(unreachable.may_start());
+    CHECK(unreachable.dismiss(1));
+    CHECK_FALSE(unreachable.dismiss(1));
+    CHECK(unreachable.may_start());
+    CHECK(unreachable.confirm(2));
+    CHECK(unreachable.confirm(3));
+    CHECK(unreachable.is_culprit());
+}
+
+TEST_CASE("crash suspects: tasks that crash servers are given up, bystanders and racks are not")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        crashing_pool pool{seed, 12, 300, 8};
+        int steps = 0;
+        while (!pool.is_settled() && steps < 3000) {
+            if (steps == 20 || steps == 70) {
+                pool.crash_rack(steps == 20 ? 0 : 4, 4);
+            }
+            pool.step();
+            ++steps;
+        }
+        CHECK(pool.is_settled());
+        for (const auto& t : pool.tasks) {
+            CHECK(t.given_up == t.crashes_servers);
+            CHECK((!t.crashes_servers || t.starts <= 5));
+        }
+    }
+}
+
+TEST_CASE("crash suspects: three failures of racks, 10 s apart, give up no task")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        crashing_pool pool{seed, 12, 600, 0};
+        std::mt19937_64 random{seed};
+        for (int steps = 0; steps < 3000 && !pool.is_settled(); ++steps) {
+            if (steps == 10 || steps == 110 || steps == 210) {
+                pool.crash_rack(static_cast<int>(random() % 3) * 4, 4);
+            }
+            pool.step();
+        }
+        CHECK(pool.is_settled());
+        CHECK(std::ranges::none_of(pool.tasks, [](const auto& t) { return t.given_up; }));
+    }
+}
+
+TEST_CASE("suspects: reserved servers run only suspects, and those of several crashes run alone")
+{
+    std::vector<server_report> reports(6);
+    std::vector<server_candidate> servers(6);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        reports[i].id = server_id{"s" + std::to_string(i)};
+        servers[i].server = &reports[i];
+        servers[i].free = {10'000, 1000, 0};
+        servers[i].runs = 3 - std::min<std::size_t>(i, 3);
+    }
+    servers[4].long_running_tasks = 1;
+    step_spec spec;
+    spec.need = {1000, 10, 0};
+
+    // Two groups and one task of several crashes; half of the servers may be reserved.
+    CHECK(scheduler::reserve_servers(servers, {5, 1}) == 0);
+    const auto is_reserved = [](const server_candidate& c) { return c.reserved; };
+    CHECK(std::ranges::count_if(servers, is_reserved) == 3);
+    CHECK_FALSE(servers[0].reserved);
+    CHECK_FALSE(servers[4].reserved);
+
+    scheduler::placement_hints hints;
+    const auto ordinary = scheduler::choose(servers, spec, hints);
+    REQUIRE(ordinary);
+    CHECK_FALSE(servers[*ordinary].reserved);
+    hints.suspected = suspicion::several_crashes;
+    const auto alone = scheduler::choose(servers, spec, hints);
+    REQUIRE(alone);
+    CHECK(servers[*alone].reserved);
+    CHECK(servers[*alone].runs == 0);
+    servers[*alone].runs = servers[*alone].suspects = 1;
+    servers[*alone].isolates_suspect = true;
+    hints.suspected = suspicion::one_crash;
+    for (std::size_t placed = 0; placed < scheduler::suspects_per_server; ++placed) {
+        const auto group = scheduler::choose(servers, spec, hints);
+        REQUIRE(group);
+        CHECK(group != alone);
+        ++servers[*group].runs;
+        ++servers[*group].suspects;
+    }
+}
+
+TEST_CASE("suspects: a task that has waited too long shares a server with the fewest other runs")
+{
+    std::vector<server_report> reports(2);
+    std::vector<server_candidate> servers(2);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        reports[i].id = server_id{"s" + std::to_string(i)};
+        servers[i].server = &reports[i];
+        servers[i].free = {10'000, 1000, 0};
+        servers[i].runs = 2 - i;
+        servers[i].long_running_tasks = 1;
+    }
+    step_spec spec;
+    spec.need = {1000, 10, 0};
+    scheduler::placement_hints hints;
+    hints.suspected = suspicion::several_crashes;
+    // No server can be reserved, so the pool needs others.
+    CHECK(scheduler::reserve_servers(servers, {0, 1}) == 1);
+    CHECK_FALSE(scheduler::choose(servers, spec, hints));
+    hints.may_share_server = true;
+    CHECK(scheduler::choose(servers, spec, hints) == 1);
+}
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string_view>
+
 using namespace fescue;
 using namespace fescue::jobs;
 
@@ -68,6 +70,22 @@
     return {test_job_id, occurrence, step, index};
 }
 
+std::string from_hexadecimal(std::string_view text)
+{
+    std::string out;
+    for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
+        out.push_back(static_cast<char>(std::stoi(std::string{text.substr(i, 2)}, nullptr, 16)));
+    }
+    return out;
+}
+
+/** Starts the task and ends the run with the crash of its server. */
+void crash_server_of_task(state& s, const task_id& t, std::uint32_t attempt)
+{
+    begin_task(s, t, attempt, server_id{"s" + std::to_string(attempt)});
+    end_task(s, t, attempt, run_outcome::server_crashed);
+}
+
 } // namespace
 
 TEST_CASE("jobs: job and task ids survive a round trip through text")
@@ -351,3 +369,129 @@
     apply(s, remove_jobs{{test_job_id}});
     CHECK_FALSE(s.jobs.contains(test_job_id));
 }
+
+TEST_CASE("jobs: a job is given up after its task crashed two servers that ran nothing else")
+{
+    step_spec long_running = make_step(2);
+    long_running.long_running = true;
+    step_spec gang = make_step(2);
+    gang.gang = true;
+    for (const step_spec& step : {make_step(2), long_running, gang}) {
+        state s = state_with_job({step});
+        crash_server_of_task(s, make_task_id(0, 0), 1);
+        CHECK(s.jobs.at(test_job_id).phase == job_phase::in_progress);
+        // The same end may be proposed again by a new leader.
+        end_task(s, make_task_id(0, 0), 1, run_outcome::server_crashed);
+        CHECK(s.crash_records.at(make_task_id(0, 0)).crashes() == 1);
+        begin_task(s, make_task_id(0, 1), 2);
+        crash_server_of_task(s, make_task_id(0, 0), 2);
+        CHECK(s.jobs.at(test_job_id).phase == job_phase::failed);
+        end_task(s, make_task_id(0, 1), 2, run_outcome::stopped);
+        CHECK(s.active_jobs.empty());
+        // The record tells why until the job is removed.
+        CHECK(s.crash_records.contains(make_task_id(0, 0)));
+        apply(s, remove_jobs{{test_job_id}});
+        CHECK(s.crash_records.empty());
+    }
+}
+
+TEST_CASE("jobs: a lost run counts as a crash only once its server is known to have crashed")
+{
+    state s = state_with_job({make_step(1)});
+    const task_id t = make_task_id(0, 0);
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+        begin_task(s, t, attempt, server_id{"s" + std::to_string(attempt)});
+        end_task(s, t, attempt, run_outcome::lost);
+    }
+    CHECK(s.crash_records.at(t).crashes() == 0);
+    end_task(s, t, 1, run_outcome::lost_unsuspected);
+    CHECK(s.crash_records.at(t).losses().size() == 2);
+    begin_task(s, t, 4);
+    end_task(s, t, 2, run_outcome::server_crashed);
+    end_task(s, t, 2, run_outcome::server_crashed);
+    CHECK(s.crash_records.at(t).crashes() == 1);
+    CHECK(s.find(t)->phase == task_phase::running);
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::in_progress);
+    end_task(s, t, 3, run_outcome::server_crashed);
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::failed);
+    CHECK(s.jobs.at(test_job_id).running == 1);
+}
+
+TEST_CASE("jobs: runs of other jobs on a crashed server make a crash inconclusive")
+{
+    state s = state_with_job({make_step(1)});
+    const job_id other_job{2};
+    job_spec spec{"payload", {make_step(1)}, {}};
+    apply(s, submit_job{other_job, queue_id{"orders"}, {}, test_account, spec, noon_ms});
+    const task_id t = make_task_id(0, 0);
+    const task_id other{other_job, 0, 0, 0};
+    begin_task(s, t, 1);
+    begin_task(s, other, 1);
+    // The second run ends in a later command, when the first one has left the server.
+    end_task(s, t, 1, run_outcome::server_crashed);
+    end_task(s, other, 1, run_outcome::server_crashed);
+    for (const task_id& suspect : {t, other}) {
+        CHECK(s.crash_records.at(suspect).crashes() == 1);
+        CHECK(s.crash_records.at(suspect).crashes_alone() == 0);
+    }
+    // Both run on servers of their own; success clears one of them, the other is convicted.
+    begin_task(s, other, 2, server_b);
+    end_task(s, other, 2, run_outcome::done);
+    CHECK_FALSE(s.crash_records.contains(other));
+    crash_server_of_task(s, t, 2);
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::in_progress);
+    crash_server_of_task(s, t, 3);
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::failed);
+    CHECK(s.jobs.at(other_job).phase == job_phase::completed);
+}
+
+TEST_CASE("jobs: crashes of servers are kept in a snapshot")
+{
+    state s = state_with_job({make_step(1)});
+    crash_server_of_task(s, make_task_id(0, 0), 1);
+    const auto decoded = machine::decode_state(machine::encode_state(s));
+    REQUIRE(ok(decoded));
+    state restored = value(decoded);
+    CHECK(machine::encode_state(restored) == machine::encode_state(s));
+    crash_server_of_task(restored, make_task_id(0, 0), 2);
+    CHECK(restored.jobs.at(test_job_id).phase == job_phase::failed);
+}
+
+TEST_CASE("jobs: snapshots and log entries without crash records are read")
+{
+    // Written by a version without crash records: job 7 with one task, running on server a.
+    const std::string snapshot = from_hexadecimal(
+        "010000000000000001000000000000000100000000000000710100000000000000710100000000000000"
+        "6801000000000000002f000100000000000000700000000001000000000000000000f03f000000000000"
+        "000000000000000000000000000000000000000000000000000000010000000000000001000000000000"
+        "007001000000000000000000000000000000000000000000000000000000000000000000010000000000"
+        "000007000000000000000100000000000000710100000000000000700000000001000000000000000000"
+        "f03f00000000000000000000000000000000000000000000000000000000000000000001000000000000"
+        "007400000000000000000100000000000000010000000000000000000000000000000000000000000000"
+        "000000000000000000000000000000000000000000000000000000000000000000000000000000000000"
+        "000000000000000000000000000000000000000000000000000000000000000000000000000000000000"
+        "000001050000000000000000000000000000000100000000000000000000000100000000000000010000"
+        "000000000001010000000000000001000000000000006103000000000000000000000000000000000000"
+        "000100000001000000000000000100000000000000000000000000000000000000");
+    const auto decoded = machine::decode_state(snapshot);
+    REQUIRE(ok(decoded));
+    state s = value(decoded);
+    const task_id t{job_id{7}, 0, 0, 0};
+    REQUIRE(s.find(t) != nullptr);
+    CHECK(s.find(t)->phase == task_phase::running);
+    CHECK(s.find(t)->server == server_a);
+    CHECK(s.crash_records.empty());
+    // The earlier version can also read a snapshot without crash records.
+    CHECK(machine::encode_state(s) == snapshot);
+
+    const auto entry = machine::decode(from_hexadecimal(
+        "070000000100000000000000070000000000000000000000000000000000000001000000070100000000"
+        "00000063090000000000000001000000000000006103000000000000000200000000000000"));
+    REQUIRE(ok(entry));
+    const auto& ends = std::get<end_runs>(value(entry));
+    REQUIRE(ends.ends.size() == 1);
+    CHECK(ends.ends[0].outcome == run_outcome::lost);
+    apply(s, value(entry));
+    CHECK(s.find(t)->phase == task_phase::waiting);
+    CHECK(s.find(t)->checkpoint == "c");
+}
