Run driver: tell crashed servers from unreachable ones

A crashed server of the users' platform returns under another id at the same address, and a run on it ended as lost, as after a partition or an announced end. A run now ends as server_crashed if its server restarted without notice, under the same id or another one at its address. If this becomes known only after the run has ended as lost, also to a later leader, a correction is proposed; if the server answers again in the same incarnation, or stays away for 20 s, the run is no reason for suspicion.

The test of a server that restarted expected the outcome lost; the same end is now checked for server_crashed, which says more.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -24,6 +24,7 @@
     leading_ = true;
     term_ = context_.fencing_token();
     pending_ends_ = {};
+    unresolved_losses_.clear();
     const mono_time now = context_.now();
     const mono_time inherited_expiry = inherited_lease_expiry(now);
     for (auto& [id, view] : servers_) {
@@ -149,7 +150,8 @@
             run.visible_from.reset();
             run.stop_reason = "server_restarted";
         } else if (run.stage != run_stage::inherited) {
-            propose_end({task, run.attempt}, run_outcome::lost, "", "server_restarted");
+            propose_end({task, run.attempt}, outcome_of_lost_run(view, run, true), "",
+                        "server_restarted");
         }
     }
 }
@@ -200,6 +202,7 @@
         }
     } else if (const auto* ends = std::get_if<jobs::end_runs>(&cmd)) {
         on_end_runs(*ends);
+        log_suspects(*ends);
     } else if (const auto* cancel = std::get_if<jobs::cancel_job>(&cmd)) {
         stop_job_runs(cancel->id, "job_cancelled");
     }
@@ -230,10 +233,10 @@
 {
     std::set<jobs::job_id> affected_jobs;
     for (const jobs::end_run& e : cmd.ends) {
+        affected_jobs.insert(e.run.task.job);
         if (!remove_run(e.run)) {
             continue;
         }
-        affected_jobs.insert(e.run.task.job);
         if (e.outcome != run_outcome::done) {
             stop_gang(e.run.task);
         }
@@ -327,6 +330,7 @@
         ended_servers_.push_back({id, servers_.at(id).report.incarnation_id});
         servers_.erase(id);
     }
+    resolve_lost_runs();
     if (!pending_ends_.ends.empty()) {
         propose_ends(std::exchange(pending_ends_, {}));
     }
@@ -340,11 +344,13 @@
     if (view.runs.empty() || !(ended || (unresponsive && view.is_lease_expired(now)))) {
         return;
     }
+    std::optional<bool> replaced;
     for (auto& [task, run] : view.runs) {
         const bool start_may_arrive =
             !ended && run.stage == run_stage::in_doubt && now - run.ordered_at < max_order_delay;
         if (!run.end_proposed && !start_may_arrive) {
-            propose_end({task, run.attempt}, run_outcome::lost, "",
+            replaced = replaced ? replaced : is_replaced(view);
+            propose_end({task, run.attempt}, outcome_of_lost_run(view, run, *replaced), "",
                         ended ? "server_ended" : "lease_over");
         }
     }
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -101,6 +102,23 @@
     void apply_active_runs(server_view& view, const poll_reply& reply);
     void end_missing_runs(server_view& view, const poll_reply& reply, mono_time sent);
     void end_lost_runs(server_view& view);
+    /** @return whether another server reports the view's address and has started later, so that the
+     * process of the view has ended. */
+    bool is_replaced(const server_view& view) const;
+    /** @return how a run ends whose server was lost. @param has_crashed whether the server has
+     * certainly ended; if not, it is unreachable. */
+    jobs::run_outcome outcome_of_lost_run(const server_view& view, const run_view& run,
+                                          bool has_crashed) const;
+    /** @return whether the task's run was started in an earlier incarnation of the server. */
+    bool is_of_earlier_incarnation(const server_view& view, const jobs::task_id& task) const;
+    /** @return what became known about a lost run since, if anything. */
+    std::optional<jobs::run_outcome> corrected_outcome(const jobs::run_loss& loss,
+                                                       mono_time known_since) const;
+    /** @return whether the task is long-running and its run has been at work for the trial time. */
+    bool has_passed_trial(const jobs::task_id& task) const;
+    /** Proposes corrections of the lost runs whose servers have restarted or answer again. */
+    void resolve_lost_runs();
+    void log_suspects(const jobs::end_runs& cmd) const;
     milliseconds poll_interval() const;
     bool poll_due(const server_view& view, mono_time now) const;
     void propose_end(const jobs::run_id& run, jobs::run_outcome outcome, std::string checkpoint,
@@ -115,6 +133,9 @@
     /** Server of each task's current run. */
     std::unordered_map<jobs::task_id, server_id> run_locations_;
     jobs::end_runs pending_ends_;
+    /** Lost runs whose servers may have crashed, and since when this leader has known of them. */
+    std::map<jobs::run_id, mono_time> unresolved_losses_;
+    mono_time next_loss_check_{};
     std::vector<wire::server_reports::ended> ended_servers_;
     bool leading_{false};
     term_number term_{0};
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -188,8 +188,11 @@
             continue;
         }
         const bool started = run.stage != run_stage::in_doubt;
-        propose_end(name, started ? run_outcome::lost : run_outcome::not_begun, "",
-                    "not_on_the_server");
+        const bool restarted = is_of_earlier_incarnation(view, task);
+        const run_outcome outcome = restarted ? outcome_of_lost_run(view, run, true)
+                                    : started ? run_outcome::lost_unsuspected
+                                              : run_outcome::not_begun;
+        propose_end(name, outcome, "", "not_on_the_server");
     }
 }
 
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -48,6 +48,15 @@
 inline constexpr milliseconds refusal_backoff{400};
 /** Time allowed from a server's shutdown notice until its process has ended. */
 inline constexpr milliseconds shutdown_margin{300};
+/** A long-running task that has been at full work for this long is not suspected if its server
+ * crashes: a task that crashes its servers does so soon after its start. A suspect has its server
+ * to itself for as long. */
+inline constexpr milliseconds trial_run_time{10'000};
+/** Time in which a crashed server is expected to report again; the platform restarts it within some
+ * seconds. A lost run whose server stays away longer does not count as a crash. */
+inline constexpr milliseconds max_restart_time{20'000};
+/** Interval between two checks of the lost runs. */
+inline constexpr milliseconds loss_check_interval{200};
 /** A server without runs is removed after this time without a report. */
 inline constexpr milliseconds forget_after{10'000};
 
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -300,7 +300,7 @@
     CHECK(leader.driver.servers().empty());
 }
 
-TEST_CASE("driver: the runs of a server that restarted end as lost")
+TEST_CASE("driver: the runs of a server that restarted without notice may have crashed it")
 {
     single_leader leader;
     scripted_server server{leader.loop, base_port + 3};
@@ -312,7 +312,60 @@
     restarted.sequence = 1;
     leader.driver.on_report(restarted);
     REQUIRE(leader.run_until([&] { return !leader.ends.empty(); }, 1s));
-    CHECK(leader.ends[0].outcome == jobs::run_outcome::lost);
+    CHECK(leader.ends[0].outcome == jobs::run_outcome::server_crashed);
+}
+
+TEST_CASE("driver: a restart that the server announced raises no suspicion")
+{
+    single_leader leader;
+    scripted_server server{leader.loop, base_port + 11};
+    leader.report(base_port + 11);
+    leader.begin();
+    REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+    jobs::server_report report = leader.driver.servers().at(worker).report;
+    report.leaving = true;
+    ++report.sequence;
+    leader.driver.on_report(report);
+    report.leaving = false;
+    report.incarnation_id = 2;
+    report.sequence = 1;
+    leader.driver.on_report(report);
+    REQUIRE(leader.run_until([&] { return !leader.ends.empty(); }, 1s));
+    CHECK(leader.ends[0].outcome == jobs::run_outcome::lost_unsuspected);
+    CHECK(leader.log.state().crash_records.empty());
+}
+
+TEST_CASE("driver: a server whose address has been taken over crashed, an unreachable one did not")
+{
+    for (const bool is_back : {false, true}) {
+        single_leader leader;
+        leader.settings.bounds.max_lease_ms = 300;
+        scripted_server server{leader.loop,
+                               static_cast<std::uint16_t>(base_port + (is_back ? 13 : 12))};
+        leader.report(static_cast<std::uint16_t>(base_port + (is_back ? 13 : 12)));
+        leader.begin();
+        REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+        server.silent = true;
+        REQUIRE(leader.run_until([&] { return !leader.ends.empty(); }, 4s));
+        CHECK(leader.ends[0].outcome == jobs::run_outcome::lost);
+        const auto& records = leader.log.state().crash_records;
+        CHECK(records.at(task).crashes() == 0);
+        if (is_back) {
+            server.active = nlohmann::json::array();
+            server.silent = false;
+            CHECK(leader.run_until([&] { return records.empty(); }, 3s));
+            continue;
+        }
+        // A new leader gets to know it from the reports and the log.
+        leader.driver.on_leadership_lost();
+        jobs::server_report next = leader.driver.servers().at(worker).report;
+        next.id = server_id{"i-2"};
+        next.incarnation_id = 2;
+        leader.driver.on_report(next);
+        leader.driver.on_leadership_gained();
+        REQUIRE(leader.run_until([&] { return records.at(task).crashes() == 1; }, 2s));
+        CHECK(records.at(task).crashes_alone() == 1);
+    }
 }
 
 TEST_CASE("driver: the task of a cancelled job is stopped, and so is a run that is not in the log")
