Dispatcher: a task that crashes every server is not started without end

Callers saw jobs that never ended, and with them the runs of other jobs on each server that such a task was started on.

Suspects start on servers that run nothing else: after one lost run up to four together, after several alone. In a busy pool servers are kept free for them, up to half of the pool; what is missing counts as demand, so that machines move in. A suspect that has waited for 10 s (a long-running task: 1.5 s) shares a server. A task waits while its lost runs would convict it. Suspects without a server don't keep a round from other jobs.

The test starts a task whose server crashes at each start, once with a change of leader.

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "scheduling_round.h"
 #include "scope_timer.h"
 
 #include "fescuestream/base/log.h"
@@ -61,22 +62,6 @@
 
 } // namespace
 
-/** Working data of one scheduling round. */
-struct dispatcher::scheduling_round {
-    mono_time now{};
-    wall_ms wall{0};
-    std::map<pool_id, std::vector<server_candidate>> servers;
-    std::map<pool_id, std::vector<queued_job>> waiting;
-    /** Number of tasks in each pool that may start now. */
-    std::map<pool_id, std::size_t> waiting_tasks;
-    /** Resources needed by the starts in this round's batch, by account. */
-    std::map<team_id, jobs::resources> added_usage;
-    jobs::start_runs batch;
-    std::size_t max_starts{0};
-    /** All servers of each pool, for the log. */
-    std::map<pool_id, std::vector<server_availability>> availability;
-};
-
 dispatcher::dispatcher(core_context& shared, run_driver& driver) : context_{shared}, driver_{driver}
 {
 }
@@ -86,6 +71,7 @@
     batch_in_flight_ = false;
     started_runs_.clear();
     waiting_tasks_.clear();
+    waiting_suspects_.clear();
     last_failed_server_.clear();
     round_due_ = true;
 }
@@ -173,8 +159,10 @@
     round.now = context_.now();
     round.wall = wall_now();
     round.max_starts = scheduler::starts_allowed(driver_.outstanding_orders());
+    gather_suspects(round);
     gather_servers(round);
     gather_jobs(round);
+    reserve_servers(round);
     for (const auto& [id, pool] : context_.state().doc.pools) {
         loads_[id].arrival_cpu = arrivals_.cpu_milli(id, round.now);
     }
@@ -219,6 +207,7 @@
     }
     stats_logged_ = last_round_;
     waiting_tasks_.remove_obsolete(context_.state());
+    waiting_suspects_.remove_obsolete(context_.state());
     waiting_tasks_.log_longest(context_.state(), round.availability, round.now);
     log::info("scheduling_rounds", {{"rounds", round_stats_.rounds},
                                     {"starts", round_stats_.starts},
@@ -284,6 +273,11 @@
         }
         c.maintenance_due = view.maintenance_due;
         c.draining = view.draining;
+        c.runs = view.runs.size();
+        if (const auto held = round.suspects.find(id); held != round.suspects.end()) {
+            c.suspects = held->second.runs;
+            c.isolates_suspect = held->second.any_of_several_crashes;
+        }
         if (!view.draining) {
             pool_load& load = loads_[view.report.pool];
             load.capacity_cpu += view.report.capacity.cpu_milli;
@@ -406,13 +400,19 @@
     }
     auto& servers = found->second;
     std::size_t unplaced = 0;
+    round.unplaced_suspects = {};
     for (const queued_job& s : round.waiting.at(pool)) {
         if (round.batch.runs.size() >= round.max_starts || unplaced >= max_unplaced_jobs) {
             return;
         }
         const std::size_t before = round.batch.runs.size();
+        round.suspect_waits = false;
         start_job(round, s.job, servers);
-        unplaced = round.batch.runs.size() > before ? 0 : unplaced + 1;
+        if (round.batch.runs.size() > before) {
+            unplaced = 0;
+        } else if (!round.suspect_waits) {
+            ++unplaced;
+        }
     }
 }
 
@@ -475,9 +475,23 @@
         const auto failed = last_failed_server_.find(task);
         hints.avoid = failed == last_failed_server_.end() ? server_id{} : failed->second;
         hints.may_use_draining = waiting_tasks_.waiting_time(task, round.now) >= max_wait_for_drain;
-        const bool allowed = within_account_cap(round, j.account, spec.need);
+        const jobs::crash_record* record = find_crash_record(task);
+        if (record != nullptr && !spec.gang && !may_try_suspect(round, *record)) {
+            round.suspect_waits = true;
+            continue;
+        }
+        hints.suspected = scheduler::suspicion_of(record == nullptr ? 0 : record->losses().size());
+        hints.may_share_server = may_share_server(task, spec, record != nullptr, round.now);
+        const bool allowed = within_account_cap(round, j.account, spec.need) &&
+                             (record == nullptr || record->may_start());
         const auto chosen = allowed ? scheduler::choose(servers, spec, hints) : std::nullopt;
         if (!chosen) {
+            if (record != nullptr) {
+                record_unplaced_suspect(round, *record);
+                if (!spec.gang) {
+                    continue;
+                }
+            }
             if (spec.gang) {
                 round.batch.runs.resize(starts_before);
                 servers = servers_before;
@@ -488,6 +502,11 @@
         server_candidate& c = servers[*chosen];
         c.free -= spec.required_capacity();
         waiting_tasks_.record_start(task);
+        waiting_suspects_.record_start(task);
+        ++c.runs;
+        c.suspects += record == nullptr ? 0 : 1;
+        c.isolates_suspect =
+            c.isolates_suspect || hints.suspected == scheduler::suspicion::several_crashes;
         c.long_running_tasks += spec.long_running ? 1 : 0;
         c.has_trial_task = true;
         c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -16,6 +16,7 @@
 #include "fescuestream/scheduler/run_times.h"
 #include "fescuestream/scheduler/server_health.h"
 #include "fescuestream/scheduler/start_limits.h"
+#include "fescuestream/scheduler/suspect_isolation.h"
 
 #include <map>
 #include <vector>
@@ -70,6 +71,18 @@
     void start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                     std::uint32_t occurrence, std::uint32_t step,
                     std::vector<scheduler::server_candidate>& servers);
+    /** @return the task's record, or nullptr if no run of it was lost. */
+    const jobs::crash_record* find_crash_record(const jobs::task_id& task) const;
+    /** Collects the tasks that are suspected of crashing servers. */
+    void gather_suspects(scheduling_round& round);
+    /** Reserves servers for the suspects that wait. */
+    void reserve_servers(scheduling_round& round);
+    /** @return whether to search a server for a suspect in this round. */
+    static bool may_try_suspect(const scheduling_round& round, const jobs::crash_record& record);
+    static void record_unplaced_suspect(scheduling_round& round, const jobs::crash_record& record);
+    /** @return whether the task has waited so long that reservations do not apply to it. */
+    bool may_share_server(const jobs::task_id& task, const jobs::step_spec& spec, bool suspected,
+                          mono_time now) const;
     bool within_account_cap(const scheduling_round& round, const team_id& account,
                             const jobs::resources& need) const;
     void record_run_ends(const jobs::end_runs& cmd);
@@ -102,6 +115,8 @@
     };
     round_stats round_stats_;
     waiting_tasks waiting_tasks_;
+    /** Suspected tasks that wait for a server; long-running ones are in both. */
+    waiting_tasks waiting_suspects_;
     /** Rotates the pool that is served first when the starts of a round are shared out. */
     std::size_t first_pool_{0};
     bool round_due_{false};
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <optional>
+
 using namespace fescue;
 using namespace fescue::fleet;
 using namespace std::chrono_literals;
@@ -34,11 +36,22 @@
 
     /** How runs end that are started from now on; empty if they keep running. */
     std::string outcome_of_starts;
+    /** A start of this job's tasks ends the worker's incarnation; the next one knows no runs. */
+    std::optional<jobs::job_id> crashing_job;
+    std::map<std::string, int> starts;
 
 private:
     void handle_request(http::exchange_id exchange, const http::request& request)
     {
         const auto body = nlohmann::json::parse(request.body);
+        if (request.path == "/run-start") {
+            ++starts[body["task"].get<std::string>()];
+            if (crashing_job &&
+                jobs::task_id::parse(body["task"].get<std::string>())->job == *crashing_job) {
+                crash_after_reply(exchange);
+                return;
+            }
+        }
         if (request.path == "/run-start" && !outcome_of_starts.empty()) {
             add_end(body["task"], body["attempt"], outcome_of_starts);
         } else if (request.path == "/run-start") {
@@ -47,7 +60,7 @@
             add_end(body["task"], body["attempt"], "stopped");
         }
         nlohmann::json out{{"wall_clock_ms", clock_ms()},
-                           {"born", 1},
+                           {"born", incarnation_},
                            {"active", nlohmann::json::array()},
                            {"finished", finished_}};
         for (const auto& [task, row] : active_) {
@@ -56,6 +69,15 @@
         server_.respond(exchange, {200, "application/json", out.dump(), {}});
     }
 
+    void crash_after_reply(http::exchange_id exchange)
+    {
+        const nlohmann::json out{{"wall_clock_ms", clock_ms()}, {"born", incarnation_}};
+        server_.respond(exchange, {200, "application/json", out.dump(), {}});
+        ++incarnation_;
+        active_.clear();
+        finished_ = nlohmann::json::array();
+    }
+
     void add_end(const nlohmann::json& task, const nlohmann::json& attempt, const std::string& how)
     {
         finished_.push_back({finished_.size() + 1, task, attempt, how, ""});
@@ -63,6 +85,7 @@
 
     std::map<std::string, nlohmann::json> active_;
     nlohmann::json finished_ = nlohmann::json::array();
+    incarnation incarnation_{1};
     http::server server_;
 };
 
@@ -339,3 +362,30 @@
     leader.submit(1, make_long_running_step(1));
     CHECK(leader.run_until([&] { return leader.is_running(1); }, 1s));
 }
+
+TEST_CASE("dispatcher: a task that crashes every server that starts it is not started without end")
+{
+    for (const bool leader_changes : {false, true}) {
+        scheduling_leader leader;
+        const auto port = static_cast<std::uint16_t>(base_port + (leader_changes ? 10 : 9));
+        fake_worker worker{leader.loop, port};
+        worker.crashing_job = jobs::job_id{1};
+        leader.add_server("i-1", port);
+        leader.submit(1, make_short_step());
+        const jobs::task_id task{jobs::job_id{1}, 0, 0, 0};
+        if (leader_changes) {
+            REQUIRE(leader.run_until([&] { return worker.starts[task.text()] >= 1; }, 1s));
+            leader.driver.on_leadership_lost();
+            leader.driver.on_leadership_gained();
+            leader.work.on_leadership_gained();
+        }
+        leader.run_for(2s);
+        // Three crashes and two further starts are allowed.
+        CHECK(worker.starts[task.text()] >= 2);
+        CHECK(worker.starts[task.text()] <= 5);
+        CHECK(leader.log.state().jobs.at(task.job).phase == jobs::job_phase::failed);
+        // The server is available to other jobs.
+        leader.submit(2, make_short_step());
+        CHECK(leader.run_until([&] { return leader.is_running(2); }, 1s));
+    }
+}
