Dispatcher: a long-running task restarts as before after the loss of one server

A possible cause is that suspects prefer idle servers: these are not polled, so one that has crashed is noticed only by its missing reports, and a start there may stay in doubt for 12.5 s. A long-running task that has lost a single run is therefore placed as others are; from the second one on it runs alone.

--- a/include/fescuestream/scheduler/suspect_isolation.h
+++ b/include/fescuestream/scheduler/suspect_isolation.h
@@ -28,9 +28,11 @@
     std::size_t of_several_crashes{0};
 };
 
-/** @return how strongly a task is suspected. @param losses number of its runs that were lost with
+/** A long-running task is not suspected after a single loss: it must restart at once, and idle
+ * servers, which are not polled, may have crashed unnoticed.
+ * @return how strongly a task is suspected. @param losses number of its runs that were lost with
  * a server. */
-suspicion suspicion_of(std::size_t losses) noexcept;
+suspicion suspicion_of(std::size_t losses, bool long_running) noexcept;
 
 /** Reserves servers for the waiting suspects: servers that run nothing or only suspects, and then
  * those with the fewest runs, which become free as their runs end.
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -476,17 +476,19 @@
         hints.avoid = failed == last_failed_server_.end() ? server_id{} : failed->second;
         hints.may_use_draining = waiting_tasks_.waiting_time(task, round.now) >= max_wait_for_drain;
         const jobs::crash_record* record = find_crash_record(task);
-        if (record != nullptr && !spec.gang && !may_try_suspect(round, *record)) {
+        hints.suspected = scheduler::suspicion_of(record == nullptr ? 0 : record->losses().size(),
+                                                  spec.long_running);
+        const bool is_suspect = hints.suspected != scheduler::suspicion::none;
+        if (is_suspect && !spec.gang && !may_try_suspect(round, *record)) {
             round.suspect_waits = true;
             continue;
         }
-        hints.suspected = scheduler::suspicion_of(record == nullptr ? 0 : record->losses().size());
-        hints.may_share_server = may_share_server(task, spec, record != nullptr, round.now);
+        hints.may_share_server = may_share_server(task, spec, is_suspect, round.now);
         const bool allowed = within_account_cap(round, j.account, spec.need) &&
                              (record == nullptr || record->may_start());
         const auto chosen = allowed ? scheduler::choose(servers, spec, hints) : std::nullopt;
         if (!chosen) {
-            if (record != nullptr) {
+            if (is_suspect) {
                 record_unplaced_suspect(round, *record);
                 if (!spec.gang) {
                     continue;
@@ -504,7 +506,7 @@
         waiting_tasks_.record_start(task);
         waiting_suspects_.record_start(task);
         ++c.runs;
-        c.suspects += record == nullptr ? 0 : 1;
+        c.suspects += is_suspect ? 1 : 0;
         c.isolates_suspect =
             c.isolates_suspect || hints.suspected == scheduler::suspicion::several_crashes;
         c.long_running_tasks += spec.long_running ? 1 : 0;
--- a/src/fleet/suspect_placement.cpp
+++ b/src/fleet/suspect_placement.cpp
@@ -33,8 +33,12 @@
         if (t == nullptr || has_ended(job->second.phase)) {
             continue;
         }
-        const bool several = scheduler::suspicion_of(record.losses().size()) ==
-                             scheduler::suspicion::several_crashes;
+        const auto suspected = scheduler::suspicion_of(
+            record.losses().size(), job->second.spec.steps[id.step].long_running);
+        if (suspected == scheduler::suspicion::none) {
+            continue;
+        }
+        const bool several = suspected == scheduler::suspicion::several_crashes;
         if (t->phase == jobs::task_phase::running) {
             const run_view* run = driver_.find_run_view(id);
             if (run != nullptr && round.now - run->ordered_at < trial_run_time) {
--- a/src/scheduler/suspect_isolation.cpp
+++ b/src/scheduler/suspect_isolation.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-suspicion suspicion_of(std::size_t losses) noexcept
+suspicion suspicion_of(std::size_t losses, bool long_running) noexcept
 {
-    if (losses == 0) {
+    if (losses == 0 || (long_running && losses == 1)) {
         return suspicion::none;
     }
     return losses == 1 ? suspicion::one_crash : suspicion::several_crashes;
--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -172,7 +172,7 @@
                const std::vector<int>& indexes)
     {
         scheduler::placement_hints hints;
-        hints.suspected = scheduler::suspicion_of(t.record.losses().size());
+        hints.suspected = scheduler::suspicion_of(t.record.losses().size(), false);
         const auto chosen = scheduler::choose(candidates, need_, hints);
         if (!chosen) {
             return;
@@ -349,3 +349,10 @@
     hints.may_share_server = true;
     CHECK(scheduler::choose(servers, spec, hints) == 1);
 }
+
+TEST_CASE("suspects: a long-running task restarts as before after the loss of one server")
+{
+    CHECK(scheduler::suspicion_of(1, true) == suspicion::none);
+    CHECK(scheduler::suspicion_of(1, false) == suspicion::one_crash);
+    CHECK(scheduler::suspicion_of(2, true) == suspicion::several_crashes);
+}
