--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -8,6 +8,7 @@
 
 #include "fescuestream/base/error.h"
 #include "fescuestream/jobs/command.h"
+#include "fescuestream/jobs/crash_record.h"
 
 #include <map>
 #include <optional>
@@ -152,6 +153,9 @@
     std::map<std::string, machine_order> machine_orders;
     /** Servers with runs whose leases are frozen. */
     std::map<server_id, lease_bound> frozen_leases;
+    /** Tasks whose runs were lost with a server. Kept for a job given up because of them until the
+     * job is removed. */
+    std::map<task_id, crash_record> crash_records;
 
     // Indexes derived from the fields above; not part of a snapshot.
     /** Jobs that have not ended or still have running tasks. */
@@ -172,13 +176,14 @@
     /** Rebuilds the derived indexes. */
     void rebuild_indexes();
 
+    // The crash records are left out if there are none, as in snapshots of earlier versions.
     template <class Archive>
     void save(Archive& archive) const
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
-        // Versions without this field read snapshots that omit it, and write such snapshots.
-        if (!frozen_leases.empty()) {
-            archive(frozen_leases);
+        // Versions without these fields read snapshots that omit them, and write such snapshots.
+        if (!frozen_leases.empty() || !crash_records.empty()) {
+            archive(frozen_leases, crash_records);
         }
     }
     template <class Archive>
@@ -186,7 +191,7 @@
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
         if (archive.remaining() > 0) {
-            archive(frozen_leases);
+            archive(frozen_leases, crash_records);
         }
     }
 };
--- a/tests/fakes/scheduling_leader.h
+++ b/tests/fakes/scheduling_leader.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
     /** Stop orders are confirmed, and the runs keep running. */
     bool stops_take_long{false};
     std::int64_t born{1};
+    /** A start of this job's tasks ends the worker's incarnation; the next one knows no runs. */
+    std::optional<jobs::job_id> crashing_job;
     /** Tasks of all start orders, accepted or not. */
     std::vector<std::string> starts;
 
@@ -70,6 +73,10 @@
         const bool is_start = request.path == "/run-start";
         if (is_start) {
             starts.push_back(body["task"]);
+            if (crashing_job && jobs::task_id::parse(starts.back())->job == *crashing_job) {
+                crash_after_reply(exchange);
+                return;
+            }
         }
         if (is_start && !start_refusal.empty()) {
             const nlohmann::json refusal{{"wall_clock_ms", clock_ms()}, {"reason", start_refusal}};
@@ -93,6 +100,15 @@
         server_.respond(exchange, {200, "application/json", out.dump(), {}});
     }
 
+    void crash_after_reply(http::exchange_id exchange)
+    {
+        const nlohmann::json out{{"wall_clock_ms", clock_ms()}, {"born", born}};
+        server_.respond(exchange, {200, "application/json", out.dump(), {}});
+        ++born;
+        active_.clear();
+        finished_ = nlohmann::json::array();
+    }
+
     void add_end(const nlohmann::json& task, const nlohmann::json& attempt, const std::string& how)
     {
         finished_.push_back({finished_.size() + 1, task, attempt, how, ""});
@@ -209,6 +225,17 @@
         send_reports();
     }
 
+    /** Reports a new incarnation of the server. */
+    void set_incarnation(const std::string& id, std::int64_t born)
+    {
+        for (jobs::server_report& r : reports_) {
+            if (r.id == server_id{id}) {
+                r.incarnation_id = static_cast<incarnation>(born);
+            }
+        }
+        send_reports();
+    }
+
     void set_enforces_capacity(bool on)
     {
         jobs::document doc = log.state().doc;
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -1,5 +1,7 @@
 #include "fakes/scheduling_leader.h"
 
+#include <algorithm>
+
 using namespace fescue;
 using namespace fescue::fakes;
 
@@ -101,3 +103,33 @@
     leader.submit(1, make_long_running_step(1));
     CHECK(leader.run_until([&] { return leader.is_running(1); }, 1s));
 }
+
+TEST_CASE("dispatcher: a task that crashes every server that starts it is not started without end")
+{
+    for (const bool leader_changes : {false, true}) {
+        scheduling_leader leader;
+        const auto port = static_cast<std::uint16_t>(base_port + (leader_changes ? 10 : 9));
+        fake_worker worker{leader.loop, port};
+        worker.crashing_job = jobs::job_id{1};
+        leader.add_server("i-1", port);
+        const auto report_timer =
+            leader.loop.every(100ms, [&] { leader.set_incarnation("i-1", worker.born); });
+        leader.submit(1, make_short_step());
+        const jobs::task_id task{jobs::job_id{1}, 0, 0, 0};
+        const auto starts = [&] { return std::ranges::count(worker.starts, task.text()); };
+        if (leader_changes) {
+            REQUIRE(leader.run_until([&] { return starts() >= 1; }, 1s));
+            leader.driver.on_leadership_lost();
+            leader.driver.on_leadership_gained();
+            leader.work.on_leadership_gained();
+        }
+        leader.run_for(2s);
+        // Three crashes and two further starts are allowed.
+        CHECK(starts() >= 2);
+        CHECK(starts() <= 5);
+        CHECK(leader.log.state().jobs.at(task.job).phase == jobs::job_phase::failed);
+        // The server is available to other jobs.
+        leader.submit(2, make_short_step());
+        CHECK(leader.run_until([&] { return leader.is_running(2); }, 1s));
+    }
+}
