Run driver: the answer to an open poll shortened the wait after a shutdown notice

The time by which a server that announced its end has ended was kept as the time of its next poll, and the answer to a poll that was open at the notice set that to some 20 ms later. A task could start elsewhere up to 300 ms before its run had ended.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -173,7 +173,7 @@
     found->second.inherited_lease_expires_at = mono_time{};
     found->second.lease_end_ms = 0;
     found->second.last_report_at = context_.now();
-    found->second.next_poll = context_.now() + shutdown_margin;
+    found->second.shut_down_by = context_.now() + shutdown_margin;
     ended_servers_.push_back({id, found->second.report.incarnation_id});
 }
 
@@ -363,7 +363,7 @@
 void run_driver::end_lost_runs(server_view& view)
 {
     const mono_time now = context_.now();
-    const bool ended = view.has_shut_down && now >= view.next_poll;
+    const bool ended = view.has_shut_down && now >= view.shut_down_by;
     if (view.runs.empty() || !(ended || (view.unresponsive() && view.is_lease_expired(now)))) {
         return;
     }
--- a/src/fleet/run_leases.cpp
+++ b/src/fleet/run_leases.cpp
@@ -122,7 +122,7 @@
             view.report.incarnation_id = bound.incarnation_id;
             view.has_shut_down = true;
             view.end_recorded = true;
-            view.next_poll = expiry->second;
+            view.shut_down_by = expiry->second;
         }
     }
 }
--- a/src/fleet/server_view.cpp
+++ b/src/fleet/server_view.cpp
@@ -54,7 +54,7 @@
         return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(time));
     };
     if (has_shut_down) {
-        return round_up(next_poll - now);
+        return round_up(shut_down_by - now);
     }
     const milliseconds inherited = round_up(inherited_lease_expires_at - now);
     const auto server_ms = clock.lower_bound(now);
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -118,6 +118,8 @@
     std::uint32_t misses{0};
     /** The server has sent its final shutdown notice. */
     bool has_shut_down{false};
+    /** When its process has certainly ended, if has_shut_down. */
+    mono_time shut_down_by{};
     /** Gets no new runs before this time, since it did not accept a start. */
     mono_time refused_until{};
     /** Runs in the last poll that the log does not know. They take capacity until they have ended,
