--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -115,6 +115,10 @@
     /** No answer: the order may have been executed or may still be executed. */
     unknown,
 };
+constexpr order_result last_value(order_result /*type*/) noexcept
+{
+    return order_result::unknown;
+}
 
 std::string_view name_of(order_result r) noexcept;
 
@@ -175,6 +179,18 @@
 /** For a poll_order, the lists of runs or the error; for any other order, its outcome. */
 using server_answer = std::variant<order_reply, result<poll_reply>>;
 
+/** Content of wire::relayed_call::order. */
+struct addressed_order {
+    server_address to;
+    server_order order;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(to, order);
+    }
+};
+
 /** Timeout of an order. Servers answer at once, so the answer counts as lost after this. */
 inline constexpr milliseconds order_timeout{1000};
 
@@ -193,8 +209,15 @@
     server_id server;
 };
 
+struct unreadable_machine {
+    /** Empty if the entry names no machine. */
+    std::string id;
+    std::string why;
+};
+
 struct machine_page {
     std::vector<machine_entry> machines;
+    std::vector<unreadable_machine> unreadable;
     /** Token of the next page; empty: this is the last one. */
     std::string next;
 };
@@ -273,6 +296,9 @@
     std::function<std::string(jobs::job_phase)> format_job_phase;
     std::function<std::string(std::size_t pending)> format_pending_count;
 
+    /** @return whether a request on the control address with this method and path puts a document.
+     */
+    std::function<bool(const std::string& method, const std::string& path)> is_document_put;
     /** Fails with error_kind::not_found if no request has this method and path. */
     std::function<result<control_request>(const std::string& method, const std::string& path,
                                           const std::string& body)>
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -8,9 +8,11 @@
 #include "peer_links.h"
 #include "run_driver.h"
 #include "scheduler_group.h"
+#include "validation.h"
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/log_limiter.h"
 #include "fescuestream/base/shutdown_schedule.h"
 #include "fescuestream/wire/frame.h"
 
@@ -76,6 +78,7 @@
     std::unique_ptr<control_api> control;
     std::unique_ptr<http::server> control_server;
     job_retention retention;
+    log::limiter unreadable_reports;
     std::vector<timer_handle> timers;
     term_number leading_term{0};
     shutdown_schedule shutdown;
@@ -168,6 +171,9 @@
         }));
         timers.push_back(loop.every(job_purge_period, [this] { purge_old_jobs(); }));
         loop.on_iteration_end([this] { peers->flush(); });
+        loop.on_slow_iteration(consensus_timing.heartbeat, [](milliseconds took) {
+            log::info("slow_iteration", {{"took_ms", took.count()}});
+        });
     }
 
     status open_ports()
@@ -194,6 +200,7 @@
     {
         log::info("state_restored",
                   {{"applied", log->replica().applied()}, {"jobs", log->state().jobs.size()}});
+        runs->on_state_restored();
         task_dispatcher->request_round();
     }
 
@@ -206,7 +213,8 @@
             leading_term = replica.term();
             log::info("leading", {{"term", leading_term},
                                   {"jobs", log->state().active_jobs.size()},
-                                  {"servers_with_runs", log->state().runs.size()}});
+                                  {"servers_with_runs", log->state().runs.size()},
+                                  {"frozen_leases", log->state().frozen_leases.size()}});
             runs->on_leadership_gained();
             task_dispatcher->on_leadership_gained();
             machines->on_leadership_gained();
@@ -296,7 +304,7 @@
                          {{"peer", who.from.str()}, {"cluster", who.cluster}});
             return;
         }
-        std::visit([&](auto&& body) { handle(who.from, body); }, m);
+        std::visit([&](auto& body) { handle(who.from, std::move(body)); }, m);
     }
 
     template <class M>
@@ -312,9 +320,9 @@
     {
         order_relay->handle(m);
     }
-    void handle(const instance_id& from, const consensus::append_request& m)
+    void handle(const instance_id& from, consensus::append_request&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const consensus::append_reply& m)
     {
@@ -328,22 +336,31 @@
     {
         log->received(from, consensus::message{m});
     }
-    void handle(const instance_id& from, const consensus::install_snapshot& m)
+    void handle(const instance_id& from, consensus::install_snapshot&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const wire::propose_request& m) { log->received(from, m); }
     void handle(const instance_id& from, const wire::propose_reply& m) { log->received(from, m); }
-    void handle(const instance_id& /*from*/, const wire::server_reports& m)
+    void handle(const instance_id& from, const wire::server_reports& m)
     {
         for (const auto& shared_report : m.reports) {
             const auto report = from_bytes<jobs::server_report>(shared_report.bytes);
-            if (!ok(report)) {
-                log::warning("report_unreadable", {{"why", error_of(report).detail}});
+            const fescue::status fault =
+                ok(report) ? check_report(value(report)) : error_of(report);
+            if (fault) {
+                counters.count("reports_unreadable");
+                const auto count =
+                    unreadable_reports.admit(from.str() + ' ' + fault->detail, loop.now());
+                if (count > 0) {
+                    log::warning(
+                        "report_unreadable",
+                        {{"from", from.str()}, {"why", fault->detail}, {"reports", count}});
+                }
                 continue;
             }
-            runs->on_report(value(report),
-                            milliseconds{std::max<std::int64_t>(0, shared_report.age_ms)});
+            runs->on_report(value(report), milliseconds{std::clamp<std::int64_t>(
+                                               shared_report.age_ms, 0, max_duration_ms)});
         }
         for (const auto& server : m.gone) {
             runs->on_server_ended(server);
