HTTP server: a server that is destroyed while its loop runs left a callback behind

server::listen() registers a callback at the end of each loop iteration, which the loop keeps; after the server's destruction it read freed memory. There is no unit test: what freed memory contains is not determined without a sanitizer.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,6 +91,7 @@
     bool accepting{true};
     bool run_pending{false};
     bool close_connections{false};
+    const std::shared_ptr<bool> exists{std::make_shared<bool>(true)};
     std::vector<std::string> kept_header_names;
 
     explicit impl(event_loop& l, handler h) : loop{l}, on_request{std::move(h)} {}
@@ -275,8 +276,9 @@
     impl_->io = impl_->loop.watch(info->epoll_fd, {true, false},
                                   [self](io_interest /*ready*/) { self->run_daemon(); });
     impl_->poll_timer = impl_->loop.every(daemon_poll_period, [self] { self->run_daemon(); });
-    impl_->loop.on_iteration_end([self] {
-        if (self->run_pending && self->daemon != nullptr) {
+    // The loop keeps the callback when the server has been destroyed.
+    impl_->loop.on_iteration_end([self, exists = std::weak_ptr{impl_->exists}] {
+        if (!exists.expired() && self->run_pending && self->daemon != nullptr) {
             self->run_daemon();
         }
     });
