Soak: servers that disappear while the leader changes

The faults of the other modes stay as they were, so that their seeds replay. report_period_ms is only set if the capacity varies, so that older programs can be run.

--- a/tests/fakes/worker_farm.cpp
+++ b/tests/fakes/worker_farm.cpp
@@ -3,7 +3,8 @@
  * Simulates the platform on loopback: many backend servers in one process, and a load generator
  * that submits jobs. Reports a violation when a task runs twice at the same time, starts again
  * after it completed, or starts before the preceding step completed, when an accepted job is lost,
- * and when a start exceeds the capacity of a server that does not enforce it.
+ * and when a start exceeds the capacity of a server that does not enforce it. On SIGUSR1 a server
+ * that runs tasks disappears.
  */
 
 #include "varying_capacity.h"
@@ -73,6 +74,10 @@
 constexpr std::int64_t max_cut_ms = 6'000;
 /** Longest time that a run takes to stop if the capacity varies. */
 constexpr std::int64_t max_stop_ms = 400;
+/** Servers that may disappear for good, so that the others have room for the tasks. */
+constexpr int max_servers_gone = 3;
+constexpr std::int64_t min_absence_ms = 500;
+constexpr std::int64_t max_absence_ms = 5'000;
 
 std::int64_t now_ms()
 {
@@ -155,6 +160,21 @@
         send_status_report();
     }
 
+    bool is_busy() const { return !runs_.empty(); }
+    bool runs_long_tasks() const
+    {
+        return std::any_of(runs_.begin(), runs_.end(),
+                           [](const auto& entry) { return entry.second.long_running; });
+    }
+    /** Ends all runs without a trace; the server must be destroyed next. */
+    void disappear()
+    {
+        fmt::print("DISAPPEARED {} {}\n", id_, now_ms());
+        for (auto position = runs_.begin(); position != runs_.end();) {
+            position = finish_run(position, "disappeared");
+        }
+    }
+
 private:
     struct active_run {
         std::uint32_t attempt{0};
@@ -380,11 +400,13 @@
             fmt::format("http://{}/instances/{}", opts_.control_addresses[control_index_], id_);
         out.body = body.dump();
         out.timeout = milliseconds{1000};
-        client_.send(std::move(out), [this](http::client_response&& response) {
-            if (response.outcome != http::delivery::answered || response.status != 200) {
-                control_index_ = (control_index_ + 1) % opts_.control_addresses.size();
-            }
-        });
+        client_.send(std::move(out),
+                     [this, exists = std::weak_ptr{exists_}](http::client_response&& response) {
+                         if (!exists.expired() && (response.outcome != http::delivery::answered ||
+                                                   response.status != 200)) {
+                             control_index_ = (control_index_ + 1) % opts_.control_addresses.size();
+                         }
+                     });
     }
 
     event_loop& loop_;
@@ -409,10 +431,70 @@
     std::int64_t lease_until_ms_{0};
     std::int64_t reports_lost_until_ms_{0};
     std::size_t control_index_{0};
+    std::shared_ptr<bool> exists_{std::make_shared<bool>(true)};
     timer_handle run_timer_;
     timer_handle report_timer_;
 };
 
+/** The servers. On SIGUSR1 one of them disappears, for good or for a few seconds. */
+class server_fleet {
+public:
+    server_fleet(event_loop& loop, http::client& client, execution_checker& checker,
+                 const options& opts)
+        : loop_{loop}, client_{client}, checker_{checker}, opts_{opts}, random_{opts.seed}
+    {
+        for (int i = 0; i < opts.servers; ++i) {
+            add_server(i);
+        }
+        loop.on_signal(SIGUSR1, [this] { remove_random_server(); });
+    }
+
+private:
+    void add_server(int number)
+    {
+        servers_[number] =
+            std::make_unique<simulated_server>(loop_, client_, checker_, opts_, number);
+    }
+
+    /** Removes a server with long-running tasks if there is one, else any that runs tasks. */
+    void remove_random_server()
+    {
+        std::vector<int> busy;
+        std::vector<int> with_long_tasks;
+        for (const auto& [number, server] : servers_) {
+            if (server->is_busy()) {
+                busy.push_back(number);
+            }
+            if (server->runs_long_tasks()) {
+                with_long_tasks.push_back(number);
+            }
+        }
+        const auto& candidates = with_long_tasks.empty() ? busy : with_long_tasks;
+        if (candidates.empty()) {
+            return;
+        }
+        const int number = candidates[random_() % candidates.size()];
+        servers_[number]->disappear();
+        servers_.erase(number);
+        if (servers_gone_ < max_servers_gone && random_() % 2 == 0) {
+            ++servers_gone_;
+            return;
+        }
+        const milliseconds absence{
+            std::uniform_int_distribution{min_absence_ms, max_absence_ms}(random_)};
+        return_timers_[number] = loop_.after(absence, [this, number] { add_server(number); });
+    }
+
+    event_loop& loop_;
+    http::client& client_;
+    execution_checker& checker_;
+    const options& opts_;
+    std::mt19937_64 random_;
+    std::map<int, std::unique_ptr<simulated_server>> servers_;
+    std::map<int, timer_handle> return_timers_;
+    int servers_gone_{0};
+};
+
 /** Submits jobs at a fixed rate, polls each until it completes, and prints a summary. */
 class load_generator {
 public:
@@ -681,10 +763,7 @@
     event_loop loop;
     http::client client{loop};
     execution_checker checker;
-    std::vector<std::unique_ptr<simulated_server>> servers;
-    for (int i = 0; i < opts.servers; ++i) {
-        servers.push_back(std::make_unique<simulated_server>(loop, client, checker, opts, i));
-    }
+    const server_fleet servers{loop, client, checker, opts};
     load_generator load{loop, client, checker, opts};
     loop.run();
     return checker.violations == 0 ? 0 : 1;
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,9 @@
 # A long-running task must run again within this time, the last part of a longer time without any fault.
 RESTART_SECONDS = 3.0
 CALM_SECONDS = 7.0
+# A long-running task whose server has disappeared must run again within the longest lease, 6 s, and RESTART_SECONDS,
+# whatever leaders follow one another, if the last planned stop begins RESTART_SECONDS before that.
+LONGEST_LEASE_SECONDS = 6.0
 
 
 @dataclasses.dataclass
@@ -71,3 +74,21 @@
                            f"it was due {began_at - min(missed):.2f} s before the end of that time")
             idle_from = max(idle_from, ended_at)
     return out
+
+
+def tasks_of_lost_servers(runs, lost_at, faults, end_at):
+    """Describes the long-running tasks that did not run again in time after their server had disappeared.
+
+    `lost_at` has the times at which servers disappeared. Planned stops of the leader don't extend the time."""
+    out = []
+    for task, periods in runs.items():
+        periods = sorted(periods)
+        for (_, ended_at), (next_at, _) in zip(periods, [*periods[1:], (float("inf"), 0.0)]):
+            due = ended_at + LONGEST_LEASE_SECONDS + RESTART_SECONDS
+            if ended_at not in lost_at or next_at <= due or due > end_at:
+                continue
+            if not any(f.kind != "lost server" and f.overlaps(
+                    due - (RESTART_SECONDS if f.planned else CALM_SECONDS), due) for f in faults):
+                out.append(f"long-running task {task} did not run for {min(next_at, end_at) - ended_at:.2f} s "
+                           "after its server had disappeared")
+    return out
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,16 +20,19 @@
     def __init__(self, schedulers, entries, rng):
         self.schedulers, self.entries, self.rng = schedulers, entries, rng
         self.faults, self.violations = [], []
+        self.farm = None  # the process of worker_farm
 
-    def run(self, end_at, planned_only):
+    def run(self, end_at, mode):
         """Waits for a scheduler to catch up after each of its unplanned faults and after each series, since three
         schedulers tolerate the loss of only one."""
         while now() < end_at:
-            if planned_only or self.rng.random() < 0.4:
+            if mode == "lost":
+                self.lose_server_while_leaders_change()
+            elif mode == "planned" or self.rng.random() < 0.4:
                 series = self.rng.choice([self.stop_one, self.stop_all_entries, self.stop_entry_then_schedulers,
                                           self.stop_schedulers_in_turn, self.stop_entry_during_restarts, self.reload])
                 series()
-                time.sleep(self.rng.uniform(0.5, 2.0) if planned_only else CATCH_UP_SECONDS)
+                time.sleep(self.rng.uniform(0.5, 2.0) if mode == "planned" else CATCH_UP_SECONDS)
             else:
                 self.inject_unplanned()
 
@@ -118,6 +121,17 @@
         self.stop_schedulers_in_turn()
         entry.join()
 
+    def lose_server_while_leaders_change(self):
+        """A backend server that runs tasks disappears, and the leader is stopped two or three times within 6 s."""
+        self.farm.send_signal(signal.SIGUSR1)
+        self.faults.append(Fault("lost server", "worker_farm", now(), now(), planned=True))
+        time.sleep(self.rng.uniform(0.0, 0.5))
+        for _ in range(self.rng.choice([2, 3])):
+            self.restart(self.leader(), self.rng.uniform(0.05, 0.5))
+            time.sleep(self.rng.uniform(0.8, 1.8))
+        # The lost tasks become due.
+        time.sleep(CATCH_UP_SECONDS)
+
     def reload(self):
         """Sends SIGHUP to some instances, one of which is stopped shortly after."""
         chosen = self.rng.sample(self.schedulers + self.entries, 2)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,6 +8,7 @@
 
     soak.py --first 1 --seeds 50            fifty seeds, one after the other
     soak.py --planned --first 1             the same with planned stops as the only faults
+    soak.py --lost-servers --first 1        the same with servers that disappear while the leader changes
     soak.py --capacity unenforced           with servers whose capacity varies and which start whatever they are told
     soak.py --regression                    the seeds in regression_seeds.txt
 """
@@ -49,7 +50,7 @@
 class Instance:
     """A fescued process that can be killed, paused and restarted."""
 
-    def __init__(self, program, folder, index, scheduler, seeds):
+    def __init__(self, program, folder, index, scheduler, seeds, bounds):
         self.program, self.address, self.scheduler = program, address(index), scheduler
         self.data = folder / f"data-{self.address}"
         self.log_file = folder / f"{self.address}.log"
@@ -65,7 +66,7 @@
         settings = {"role": "scheduler" if scheduler else "entry", "id": self.address,
                     "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)], "listen": listen, "seeds": seeds,
                     "first_start": True, "cluster_secret": "soak",
-                    "bounds": {"grace_s": checks.GRACE_SECONDS, "report_period_ms": REPORT_PERIOD_MS}}
+                    "bounds": bounds}
         if scheduler:
             settings["data_folder"] = str(self.data)
         self.settings_file = folder / f"{self.address}.json"
@@ -104,12 +105,16 @@
 class Run:
     """One seed: the processes, the load, the faults and the judgement."""
 
-    def __init__(self, seed, args, planned, seconds, capacity):
-        self.seed, self.args, self.planned, self.seconds, self.capacity = seed, args, planned, seconds, capacity
+    def __init__(self, seed, args, mode, seconds, capacity):
+        self.seed, self.args, self.mode, self.seconds, self.capacity = seed, args, mode, seconds, capacity
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         seeds = [address(i) for i in range(args.schedulers)]
         count = args.schedulers + args.entries
-        self.instances = [Instance(args.fescued, self.folder, i, i < args.schedulers, seeds) for i in range(count)]
+        bounds = {"grace_s": checks.GRACE_SECONDS}
+        if capacity != "fixed":  # older programs don't have this bound
+            bounds["report_period_ms"] = REPORT_PERIOD_MS
+        self.instances = [Instance(args.fescued, self.folder, i, i < args.schedulers, seeds, bounds)
+                          for i in range(count)]
         self.schedulers, self.entries = self.instances[:args.schedulers], self.instances[args.schedulers:]
         self.injector = FaultInjector(self.schedulers, self.entries, random.Random(seed))
         self.farm_output = self.folder / "worker_farm.out"
@@ -132,11 +137,11 @@
         try:
             for i in self.instances:
                 i.start()
-            farm = self.start_farm()
+            farm = self.injector.farm = self.start_farm()
             self.callers = Callers([e.address for e in self.entries], [s.address for s in self.schedulers],
                                    CALLER_PORT, CONTROL_PORT, self.args.callers or (3, 12)[self.seed % 2], self.seed)
             time.sleep(2.0)
-            self.injector.run(now() + self.seconds - 2.0, self.planned)
+            self.injector.run(now() + self.seconds - 2.0, self.mode)
             time.sleep(CALM_AT_END_SECONDS)
             end_at = now()
             self.callers.stop()  # worker_farm runs on, since the accepted jobs must complete
@@ -162,7 +167,11 @@
         out += self.injector.violations
         out += checks.unanswered_requests(requests, faults)
         out += checks.lost_jobs(requests, self.callers.accepted)
-        out += checks.idle_tasks(self.long_running_runs(output), self.long_running_tasks(), faults, end_at)
+        runs = self.long_running_runs(output)
+        out += checks.idle_tasks(runs, self.long_running_tasks(), faults, end_at)
+        lost_at = {int(at_ms) / 1000
+                   for at_ms in re.findall(r"^LONG-RUNNING disappeared \S+ (\d+)$", output, re.MULTILINE)}
+        out += checks.tasks_of_lost_servers(runs, lost_at, faults, end_at)
         out += [f"accepted job {job} did not complete" for job in sorted(self.callers.unfinished)]
         return out
 
@@ -191,12 +200,11 @@
         (self.folder / "report.txt").write_text("\n".join(violations + lines) + "\n")
 
 
-def run_seed(seed, args, planned, seconds, capacity):
-    run = Run(seed, args, planned, seconds, capacity)
+def run_seed(seed, args, mode, seconds, capacity):
+    run = Run(seed, args, mode, seconds, capacity)
     violations = run.play()
     judged = [r for r in run.callers.requests if checks.is_judged(r, run.injector.faults)]
     summary = " ".join(re.findall(r"^jobs .*", run.farm_output.read_text(), re.MULTILINE))
-    mode = "planned" if planned else "mixed"
     print(f"seed {seed} {mode}, {capacity} capacity: {'FAILED' if violations else 'passed'}: "
           f"{len(run.injector.faults)} faults, {len(judged)} of {len(run.callers.requests)} requests judged, "
           f"{len(run.callers.long_running) * LONG_RUNNING_TASKS} long-running tasks; {summary}", flush=True)
@@ -211,10 +219,10 @@
 
 
 def regression_seeds():
-    """(seed, whether only planned stops are injected, seconds with faults, capacity) of each line."""
+    """(seed, faults: mixed, planned or lost, seconds with faults, capacity) of each line."""
     lines = (HERE / "regression_seeds.txt").read_text().splitlines()
     fields = [line.split() for line in lines if line.strip() and not line.startswith("#")]
-    return [(int(f[0]), {"planned": True, "mixed": False}[f[1]], float(f[2]), f[3]) for f in fields]
+    return [(int(f[0]), f[1], float(f[2]), f[3]) for f in fields]
 
 
 def main():
@@ -222,7 +230,9 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=16, help="time until the last fault begins")
-    parser.add_argument("--planned", action="store_true")
+    modes = parser.add_mutually_exclusive_group()
+    modes.add_argument("--planned", dest="mode", action="store_const", const="planned", default="mixed")
+    modes.add_argument("--lost-servers", dest="mode", action="store_const", const="lost")
     parser.add_argument("--capacity", choices=sorted(CAPACITY_ARGS), default="fixed",
                         help="how the servers' capacity behaves")
     parser.add_argument("--schedulers", type=int, default=3)
@@ -232,13 +242,13 @@
     parser.add_argument("--regression", action="store_true")
     parser.add_argument("--keep", action="store_true")
     args = parser.parse_args()
-    seeds = [(s, args.planned, args.seconds, args.capacity) for s in range(args.first, args.first + args.seeds)]
+    seeds = [(s, args.mode, args.seconds, args.capacity) for s in range(args.first, args.first + args.seeds)]
     if args.regression:
         seeds = regression_seeds()
     # The processes use fixed addresses and ports; two runs at once would reach each other's.
     with open(pathlib.Path(tempfile.gettempdir()) / "fescuestream-soak.lock", "w", encoding="ascii") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
-        failed = [s for s, planned, seconds, capacity in seeds if not run_seed(s, args, planned, seconds, capacity)]
+        failed = [s for s, mode, seconds, capacity in seeds if not run_seed(s, args, mode, seconds, capacity)]
     print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     return 1 if failed else 0
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -58,5 +58,25 @@
                          0)
 
 
+class TasksOfLostServers(unittest.TestCase):
+    def count(self, runs, *faults, end_at=30.0):
+        return len(checks.tasks_of_lost_servers({"a.0.0.0": runs}, {10.0}, list(faults), end_at))
+
+    def test_task_that_waits_longer_than_the_lease(self):
+        self.assertEqual(self.count([(1.0, 10.0), (18.9, 30.0)]), 0)
+        self.assertEqual(self.count([(1.0, 10.0), (19.1, 30.0)]), 1)
+        self.assertEqual(self.count([(1.0, 10.0)]), 1)
+        self.assertEqual(self.count([(1.0, 10.0)], end_at=18.0), 0)
+
+    def test_run_that_ended_otherwise(self):
+        self.assertEqual(self.count([(1.0, 9.0), (19.1, 30.0)]), 0)
+
+    def test_leaders_that_change_do_not_extend_the_time(self):
+        stop = Fault("stop", OTHER, 12.0, 15.9, planned=True)
+        self.assertEqual(self.count([(1.0, 10.0), (19.1, 30.0)], stop), 1)
+        self.assertEqual(self.count([(1.0, 10.0), (19.1, 30.0)], dataclasses.replace(stop, ended_at=16.1)), 0)
+        self.assertEqual(self.count([(1.0, 10.0), (19.1, 30.0)], Fault("kill", OTHER, 11.0, 12.5)), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
