--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -151,6 +151,8 @@
     std::map<job_id, job> jobs;
     std::map<std::string, maintenance_wave> waves;
     std::map<std::string, machine_order> machine_orders;
+    /** Servers with runs whose leases are frozen. */
+    std::map<server_id, lease_bound> frozen_leases;
     /** Tasks whose runs were lost with a server. Kept for a job given up because of them until the
      * job is removed. */
     std::map<task_id, crash_record> crash_records;
@@ -174,11 +176,14 @@
     /** Rebuilds the derived indexes. */
     void rebuild_indexes();
 
-    // The crash records are left out if there are none, as in snapshots of earlier versions.
+    // Empty fields at the end are omitted, as in snapshots of versions without them.
     template <class Archive>
     void save(Archive& archive) const
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
+        if (!frozen_leases.empty() || !crash_records.empty()) {
+            archive(frozen_leases);
+        }
         if (!crash_records.empty()) {
             archive(crash_records);
         }
@@ -187,6 +192,9 @@
     void load(Archive& archive)
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
+        if (archive.remaining() > 0) {
+            archive(frozen_leases);
+        }
         if (archive.remaining() > 0) {
             archive(crash_records);
         }
