Run driver: don't wait for a late start on a server that has been replaced

A task crashes its server at its start, so the starts sent with it get no answer. They were taken for orders that may still arrive, for up to 12.5 s (start_not_taken answer=unknown at 36.94 s, run_over at 49.41 s), although the crashed server is back under another id at its address. Orders name the id, and the successor refuses those for another one.

Once the lease is over, such a start is not waited for if the server has been replaced. Before: run_driver_test.cpp:471: REQUIRE( leader.run_until([&] { return !leader.ends.empty(); }, 5s) ) is NOT correct

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -348,16 +348,17 @@
     if (view.runs.empty() || !(ended || (view.unresponsive() && view.is_lease_expired(now)))) {
         return;
     }
-    std::optional<bool> replaced;
+    // The successor at the address refuses orders to this server, so none arrives late.
+    const bool replaced = is_replaced(view);
     for (auto& [task, run] : view.runs) {
         const bool own_start_may_arrive =
             run.stage == run_stage::in_doubt && now - run.ordered_at < max_order_delay;
         const bool earlier_start_may_arrive =
             run.earlier_start_unanswered && now < earlier_leaders_leases_expire_at_;
-        const bool start_may_arrive = !ended && (own_start_may_arrive || earlier_start_may_arrive);
+        const bool start_may_arrive =
+            !ended && !replaced && (own_start_may_arrive || earlier_start_may_arrive);
         if (!run.end_proposed && !start_may_arrive) {
-            replaced = replaced ? replaced : is_replaced(view);
-            propose_end({task, run.attempt}, outcome_of_lost_run(view, run, *replaced), "",
+            propose_end({task, run.attempt}, outcome_of_lost_run(view, run, replaced), "",
                         ended ? "server_ended" : "lease_over");
         }
     }
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -451,6 +451,27 @@
     }
 }
 
+TEST_CASE("driver: a start that crashed its server does not wait for a late arrival there")
+{
+    single_leader leader;
+    leader.settings.bounds.max_lease_ms = 300;
+    auto server = std::make_unique<scripted_server>(leader.loop, base_port + 18);
+    server->answers_starts = false;
+    leader.report(base_port + 18);
+    leader.begin();
+    REQUIRE(leader.run_until(
+        [&] { return std::ranges::find(server->calls, "/run-start") != server->calls.end(); }, 1s));
+    server.reset();
+    leader.run_for(200ms);
+    CHECK(leader.ends.empty());
+    jobs::server_report next = leader.driver.servers().at(worker).report;
+    next.id = server_id{"i-2"};
+    next.incarnation_id = 2;
+    leader.driver.on_report(next);
+    REQUIRE(leader.run_until([&] { return !leader.ends.empty(); }, 5s));
+    CHECK(leader.ends[0].outcome == jobs::run_outcome::server_crashed);
+}
+
 TEST_CASE("driver: the task of a cancelled job is stopped, and so is a run that is not in the log")
 {
     single_leader leader;
