--- a/include/fescuestream/jobs/model.h
+++ b/include/fescuestream/jobs/model.h
@@ -204,6 +204,10 @@
      * run that has already ended as lost, it corrects that outcome; so does lost_unsuspected. */
     server_crashed,
 };
+constexpr run_outcome last_value(run_outcome /*type*/) noexcept
+{
+    return run_outcome::server_crashed;
+}
 
 std::string_view name_of(run_outcome reason) noexcept;
 
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "run_timing.h"
 #include "scheduling_round.h"
 #include "scope_timer.h"
 
@@ -26,6 +27,9 @@
 /** A long-running task that has waited this long may start on a server that is being drained. The
  * platform tolerates a wait of 3 s. */
 constexpr milliseconds max_wait_for_drain{2000};
+/** A long-running task that has waited this long needs another machine in its pool. Obstacles that
+ * pass sooner, such as the wait after a refused start, are not worth a move. */
+constexpr milliseconds max_wait_before_move{1000};
 /** A server whose last report is older than this (three report periods) gets no new runs. */
 constexpr milliseconds report_timeout{4500};
 /** A batch of starts not applied within this time is assumed lost in a change of leader. */
@@ -52,6 +56,12 @@
     if (now < view.refused_until) {
         return "refused_a_start";
     }
+    if (view.capacity_outdated) {
+        return "capacity_outdated";
+    }
+    if (view.unknown_runs > 0) {
+        return "unknown_runs";
+    }
     const bool polled = view.clock.lower_bound(now) && (view.fenced || view.runs.empty());
     return polled ? std::string_view{} : "not_polled";
 }
@@ -253,13 +263,24 @@
     const auto& state = context_.state();
     for (const auto& [id, view] : driver_.servers()) {
         std::string_view reason = exclusion_reason(view, round.now);
-        if (reason.empty() && state.out_of_service.contains(view.report.data_centre)) {
+        const bool capacity_unconfirmed =
+            reason.empty() && !state.doc.enforces_capacity(view.report.pool) &&
+            !view.capacity_is_recent(round.now, max_capacity_age(context_.settings.bounds));
+        if (capacity_unconfirmed) {
+            reason = "capacity_unconfirmed";
+        } else if (reason.empty() && state.out_of_service.contains(view.report.data_centre)) {
             reason = "out_of_service";
         } else if (reason.empty() && health_.is_backed_off(id, round.now)) {
             reason = "backed_off";
         }
         round.availability[view.report.pool].push_back(
             {&view, reason.empty() && view.draining ? "draining" : reason});
+        if ((reason.empty() || capacity_unconfirmed) && !view.draining) {
+            pool_load& load = loads_[view.report.pool];
+            load.capacity_cpu += view.report.capacity.cpu_milli;
+            load.free_cpu += view.free().cpu_milli;
+            ++load.servers;
+        }
         if (!reason.empty()) {
             continue;
         }
@@ -281,12 +302,6 @@
             c.suspects = held->second.runs;
             c.isolates_suspect = held->second.any_of_several_crashes;
         }
-        if (!view.draining) {
-            pool_load& load = loads_[view.report.pool];
-            load.capacity_cpu += view.report.capacity.cpu_milli;
-            load.free_cpu += c.free.cpu_milli;
-            ++load.servers;
-        }
         round.servers[view.report.pool].push_back(std::move(c));
     }
 }
@@ -397,11 +412,7 @@
 void dispatcher::start_tasks(scheduling_round& round, const pool_id& pool)
 {
     const scope_timer timing{"start_tasks"};
-    const auto found = round.servers.find(pool);
-    if (found == round.servers.end()) {
-        return;
-    }
-    auto& servers = found->second;
+    auto& servers = round.servers[pool];
     std::size_t unplaced = 0;
     round.unplaced_suspects = {};
     for (const queued_job& s : round.waiting.at(pool)) {
@@ -433,6 +444,23 @@
     }
 }
 
+void dispatcher::record_unplaced_tasks(const scheduling_round& round, const task_id& first,
+                                       const jobs::step_spec& spec,
+                                       const std::vector<jobs::task>& tasks)
+{
+    scheduler::unplaced_tasks unplaced{spec.label, spec.required_capacity(), spec.max_per_server};
+    for (task_id task = first; task.index < tasks.size(); ++task.index) {
+        const bool waits = tasks[task.index].phase == jobs::task_phase::waiting;
+        if (waits && waiting_tasks_.waiting_time(task, round.now) >= max_wait_before_move) {
+            ++unplaced.tasks;
+        }
+    }
+    if (unplaced.tasks > 0) {
+        const jobs::job& j = context_.state().jobs.at(first.job);
+        loads_[context_.state().current_terms(j).pool].unplaced.push_back(std::move(unplaced));
+    }
+}
+
 void dispatcher::start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                             std::uint32_t occurrence, std::uint32_t step,
                             std::vector<server_candidate>& servers)
@@ -495,6 +523,9 @@
                     continue;
                 }
             }
+            if (allowed && spec.long_running) {
+                record_unplaced_tasks(round, task, spec, tasks);
+            }
             if (spec.gang) {
                 round.batch.runs.resize(starts_before);
                 servers = servers_before;
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -114,6 +114,7 @@
         list_read_in_flight_ = true;
         list_read_started_ = now;
         page_machines_.clear();
+        unreadable_machines_.clear();
         next_page_ = "";
     }
     if (next_page_ && read_budget_.try_acquire(now)) {
@@ -145,6 +146,7 @@
     for (const machine_entry& m : value(page).machines) {
         page_machines_[m.id] = m;
     }
+    record_unreadable(value(page).unreadable);
     if (!value(page).next.empty()) {
         next_page_ = value(page).next;
         read_list_if_due();
@@ -169,12 +171,33 @@
     log::info("machine_list", {{"machines", machines_.size()}});
 }
 
+void machine_driver::record_unreadable(const std::vector<unreadable_machine>& entries)
+{
+    for (const unreadable_machine& m : entries) {
+        context_.counters.count("machine_entries_unreadable");
+        if (!m.id.empty()) {
+            unreadable_machines_.insert(m.id);
+        }
+        const auto count = unreadable_entries_.admit(m.id + ' ' + m.why, context_.now());
+        if (count > 0) {
+            log::warning("machine_entry_unreadable",
+                         {{"machine", m.id}, {"why", m.why}, {"entries", count}});
+        }
+    }
+}
+
 void machine_driver::count_missed_lists()
 {
     std::map<std::string, std::size_t> missed_lists;
     for (const auto& [id, wave] : context_.state().waves) {
         for (const auto& [machine, m] : wave.machines) {
-            if (!m.done && !machines_.contains(machine)) {
+            if (m.done || machines_.contains(machine)) {
+                continue;
+            }
+            // An unreadable entry shows that the machine exists.
+            if (unreadable_machines_.contains(machine)) {
+                list_refresh_needed_ = true;
+            } else {
                 const std::size_t lists = missed_lists_[machine] + 1;
                 missed_lists[machine] = lists;
                 list_refresh_needed_ = list_refresh_needed_ || lists < missed_lists_before_gone;
@@ -218,6 +241,7 @@
             need.capacity_cpu = l.capacity_cpu;
             need.demand_cpu = l.capacity_cpu - l.free_cpu + l.startable_cpu;
             need.arrival_cpu = l.arrival_cpu + l.long_running_cpu;
+            need.unplaced = l.unplaced;
         }
         out.push_back(need);
     }
@@ -233,7 +257,10 @@
             continue;
         }
         ++need->machines;
-        need->capacity_cpu += moving ? m.capacity.cpu_milli : 0;
+        if (moving) {
+            need->capacity_cpu += m.capacity.cpu_milli;
+            need->arriving.push_back({m.capacity, m.labels});
+        }
     }
     return out;
 }
@@ -253,7 +280,9 @@
                                           !server->report.leaving && server->report.pool == m.pool);
         if (is_usable) {
             const bool idle = server == nullptr || server->runs.empty();
-            out.push_back({id, m.pool, m.capacity.cpu_milli, idle});
+            // The list shows the capacity of the machine, not what its server may use at present.
+            const auto& capacity = is_off ? m.capacity : server->report.capacity;
+            out.push_back({id, m.pool, {capacity, m.labels}, idle});
         }
     }
     return out;
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -33,6 +33,7 @@
         view.inherited_lease_expires_at = earlier_leaders_leases_expire_at_;
         view.lease_frozen = false;
         view.freeze_pending = false;
+        view.unfreeze_pending = false;
         view.end_recorded = false;
         view.acknowledged_end = 0;
         view.last_collected_end = 0;
@@ -98,6 +99,7 @@
     }
     const bool changed = is_new || known.incarnation_id != report.incarnation_id ||
                          known.address != report.address || known.pool != report.pool ||
+                         known.labels != report.labels || known.capacity != report.capacity ||
                          known.leaving != report.leaving;
     const bool restarted =
         !is_new && known.incarnation_id != report.incarnation_id && known.incarnation_id != 0;
@@ -105,7 +107,9 @@
         reset_after_restart(view);
     }
     view.report = report;
+    view.capacity_outdated = false;
     view.last_report_at = std::max(view.last_report_at, reported_at);
+    view.reported_at = std::max(view.reported_at, reported_at);
     view.clock.record_reading(report.clock_ms, reported_at);
     if (changed) {
         log::info("server_seen", {{"server", report.id.str()},
@@ -113,6 +117,8 @@
                                   {"pool", report.pool.str()},
                                   {"data_centre", report.data_centre.str()},
                                   {"rack", report.rack.str()},
+                                  {"cpu_milli", report.capacity.cpu_milli},
+                                  {"memory_mb", report.capacity.memory_mb},
                                   {"leaving", report.leaving},
                                   {"restarted", restarted}});
         view.next_poll = std::min(view.next_poll, context_.now());
@@ -132,6 +138,7 @@
     view.acknowledged_end = 0;
     view.last_collected_end = 0;
     view.fenced = false;
+    view.unknown_runs = 0;
     view.misses = 0;
     view.has_shut_down = false;
     view.end_recorded = false;
@@ -213,10 +220,18 @@
 {
     const task_id& task = cmd.run.task;
     const jobs::task* t = context_.state().find(task);
-    if (t == nullptr || t->phase != jobs::task_phase::running || t->attempt != cmd.run.attempt) {
+    // A batch that commits late may have been proposed again with other servers.
+    if (t == nullptr || t->phase != jobs::task_phase::running || t->attempt != cmd.run.attempt ||
+        t->server != cmd.server || find_run(cmd.server, cmd.run) != nullptr) {
         return;
     }
     server_view& view = servers_[cmd.server];
+    const jobs::resources need = context_.state().find_step_spec(task)->required_capacity();
+    const mono_time now = context_.now();
+    const bool has_capacity =
+        need.fits(view.free()) &&
+        (context_.state().doc.enforces_capacity(view.report.pool) ||
+         view.capacity_is_recent(now, max_capacity_age(context_.settings.bounds)));
     run_view run;
     run.attempt = cmd.run.attempt;
     run.ordered_at = context_.now();
@@ -227,6 +242,10 @@
         propose_end(cmd.run, run_outcome::not_begun, "", "server_changed_before_the_order");
         return;
     }
+    if (!has_capacity) {
+        propose_end(cmd.run, run_outcome::not_begun, "", "no_capacity_before_the_order");
+        return;
+    }
     send_start(view, task, added);
 }
 
@@ -324,7 +343,7 @@
             }
         }
         end_lost_runs(view);
-        collect_freeze_change(view, freeze_changes);
+        collect_freeze_change(id, view, freeze_changes);
         if (view.runs.empty() && now - view.last_report_at > forget_after) {
             expired.push_back(id);
         }
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -37,7 +37,8 @@
      * Handles a server's report.
      * @param age time since the report was received by the instance that forwards it; 0 if the
      * server sent it to this instance.
-     * @return whether the server is new or its incarnation, address, pool or leaving state changed.
+     * @return whether the server is new or its incarnation, address, pool, labels, capacity or
+     * leaving state changed.
      */
     bool on_report(const jobs::server_report& report, milliseconds age = milliseconds{0});
     /** Handles a server's notice that it is shutting down now. */
@@ -87,7 +88,8 @@
     void on_freeze_leases(const jobs::freeze_leases& cmd);
     /** Adds what the server's lease needs to @p changes: a freeze if the server does not answer or
      * has ended, or the end of a freeze if it answers again. */
-    void collect_freeze_change(const server_view& view, jobs::freeze_leases& changes) const;
+    void collect_freeze_change(const server_id& id, const server_view& view,
+                               jobs::freeze_leases& changes) const;
     void propose_freeze_changes(const jobs::freeze_leases& changes);
     void on_begin_run(const jobs::start_run& cmd);
     void on_end_runs(const jobs::end_runs& cmd);
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -44,8 +44,6 @@
 /** Allowance for leases that the previous leader renewed until it stepped down and its last orders
  * arrived. */
 inline constexpr milliseconds inherited_lease_margin{2500};
-/** Interval between two attempts to record that a server's leases are frozen, or are not. */
-inline constexpr milliseconds freeze_retry_interval{1000};
 /** Time without new runs for a server that has not accepted a start. */
 inline constexpr milliseconds refusal_backoff{400};
 /** Time allowed from a server's shutdown notice until its process has ended. */
@@ -62,6 +60,16 @@
 /** A server without runs is removed after this time without a report. */
 inline constexpr milliseconds forget_after{10'000};
 
+/** A start is sent to a server that does not enforce its capacity only if the server's last report
+ * is younger than this. The platform allows for the contact time and one report period until a
+ * smaller capacity counts; a report takes up to a second until it has been forwarded to the leader,
+ * and the start order is on its way for up to a tenth of a second. */
+inline milliseconds max_capacity_age(const settings::job_bounds& bounds)
+{
+    constexpr milliseconds max_transit_time{1100};
+    return milliseconds{bounds.contact_ms + bounds.report_period_ms} - max_transit_time;
+}
+
 inline std::int64_t effective_run_lease_ms(const settings::job_bounds& bounds)
 {
     return std::min(run_lease_ms, bounds.max_lease_ms);
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -8,9 +8,11 @@
 #include "peer_links.h"
 #include "run_driver.h"
 #include "scheduler_group.h"
+#include "validation.h"
 
 #include "fescuestream/base/codec.h"
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/log_limiter.h"
 #include "fescuestream/base/shutdown_schedule.h"
 #include "fescuestream/wire/frame.h"
 
@@ -76,6 +78,7 @@
     std::unique_ptr<control_api> control;
     std::unique_ptr<http::server> control_server;
     job_retention retention;
+    log::limiter unreadable_reports;
     std::vector<timer_handle> timers;
     term_number leading_term{0};
     shutdown_schedule shutdown;
@@ -168,6 +171,9 @@
         }));
         timers.push_back(loop.every(job_purge_period, [this] { purge_old_jobs(); }));
         loop.on_iteration_end([this] { peers->flush(); });
+        loop.on_slow_iteration(consensus_timing.heartbeat, [](milliseconds took) {
+            log::info("slow_iteration", {{"took_ms", took.count()}});
+        });
     }
 
     status open_ports()
@@ -260,7 +266,7 @@
         wire::server_reports update;
         for (const auto& [id, view] : runs->servers()) {
             const auto age =
-                std::chrono::duration_cast<milliseconds>(loop.now() - view.last_report_at);
+                std::chrono::duration_cast<milliseconds>(loop.now() - view.reported_at);
             if (!view.has_shut_down && !view.report.address.empty()) {
                 update.reports.push_back({to_bytes(view.report), age.count()});
             }
@@ -298,7 +304,7 @@
                          {{"peer", who.from.str()}, {"cluster", who.cluster}});
             return;
         }
-        std::visit([&](auto&& body) { handle(who.from, body); }, m);
+        std::visit([&](auto& body) { handle(who.from, std::move(body)); }, m);
     }
 
     template <class M>
@@ -314,9 +320,9 @@
     {
         order_relay->handle(m);
     }
-    void handle(const instance_id& from, const consensus::append_request& m)
+    void handle(const instance_id& from, consensus::append_request&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const consensus::append_reply& m)
     {
@@ -330,22 +336,31 @@
     {
         log->received(from, consensus::message{m});
     }
-    void handle(const instance_id& from, const consensus::install_snapshot& m)
+    void handle(const instance_id& from, consensus::install_snapshot&& m)
     {
-        log->received(from, consensus::message{m});
+        log->received(from, consensus::message{std::move(m)});
     }
     void handle(const instance_id& from, const wire::propose_request& m) { log->received(from, m); }
     void handle(const instance_id& from, const wire::propose_reply& m) { log->received(from, m); }
-    void handle(const instance_id& /*from*/, const wire::server_reports& m)
+    void handle(const instance_id& from, const wire::server_reports& m)
     {
         for (const auto& shared_report : m.reports) {
             const auto report = from_bytes<jobs::server_report>(shared_report.bytes);
-            if (!ok(report)) {
-                log::warning("report_unreadable", {{"why", error_of(report).detail}});
+            const fescue::status fault =
+                ok(report) ? check_report(value(report)) : error_of(report);
+            if (fault) {
+                counters.count("reports_unreadable");
+                const auto count =
+                    unreadable_reports.admit(from.str() + ' ' + fault->detail, loop.now());
+                if (count > 0) {
+                    log::warning(
+                        "report_unreadable",
+                        {{"from", from.str()}, {"why", fault->detail}, {"reports", count}});
+                }
                 continue;
             }
-            runs->on_report(value(report),
-                            milliseconds{std::max<std::int64_t>(0, shared_report.age_ms)});
+            runs->on_report(value(report), milliseconds{std::clamp<std::int64_t>(
+                                               shared_report.age_ms, 0, max_duration_ms)});
         }
         for (const auto& server : m.gone) {
             runs->on_server_ended(server);
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -87,6 +87,9 @@
 struct server_view {
     jobs::server_report report;
     mono_time last_report_at{};
+    /** Time of the last report that reached this instance. Unlike last_report_at, it is not reset
+     * by a change of leader. */
+    mono_time reported_at{};
     server_clock clock;
     /** The server has seen this leader's fencing token, and its lists have been read since. */
     bool fenced{false};
@@ -100,8 +103,8 @@
     bool freeze_pending{false};
     /** The latest such command states that the server has ended. */
     bool end_recorded{false};
-    /** When the latest command that freezes or unfreezes the leases was proposed. */
-    mono_time freeze_proposed_at{};
+    /** This leader has proposed to unfreeze the leases; the command has not been applied. */
+    bool unfreeze_pending{false};
     /** Number of the last end that is committed to the log; the server may drop those up to it. */
     std::uint64_t acknowledged_end{0};
     /** Number of the last end that was read from the server's list. */
@@ -117,6 +120,11 @@
     bool has_shut_down{false};
     /** Gets no new runs before this time, since it did not accept a start. */
     mono_time refused_until{};
+    /** Runs in the last poll that the log does not know. They take capacity until they have ended,
+     * but how much is not known, so the server gets no new runs meanwhile. */
+    std::size_t unknown_runs{0};
+    /** The server refused a start for lack of capacity, so its last report is out of date. */
+    bool capacity_outdated{false};
     /** Excluded from new runs because of maintenance or a move of its machine. */
     bool cordoned{false};
     /** Being drained for maintenance that has not begun: gets only long-running tasks that have
@@ -139,6 +147,12 @@
     bool unresponsive() const noexcept { return misses > 0 || report.address.empty(); }
     /** @return whether a long-running task that started within the window is not at full work. */
     bool has_starting_task(mono_time now, milliseconds window) const noexcept;
+    /** @return whether the reported capacity is recent enough for a server that starts whatever it
+     * is told to. */
+    bool capacity_is_recent(mono_time now, milliseconds max_age) const noexcept
+    {
+        return now - reported_at < max_age;
+    }
     /** @return whether every lease on the server has certainly expired. */
     bool is_lease_expired(mono_time now) const noexcept;
     /** @return time until every lease on the server has certainly expired. */
