Dispatcher test: the restarted server reports its new incarnation

Since a server gets no start before the report of its new incarnation, and the fake server of 'a task that crashes every server ...' reported the first one only: 'CHECK( count_starts() >= 2 ) values: 1 >= 2'. It reports the incarnation that it runs now; the checks are the same.

--- a/tests/fakes/scheduling_leader.h
+++ b/tests/fakes/scheduling_leader.h
@@ -215,6 +215,17 @@
         send_reports();
     }
 
+    /** Changes the incarnation that the server reports, and sends the report. */
+    void set_incarnation(const std::string& id, std::int64_t born)
+    {
+        for (jobs::server_report& r : reports_) {
+            if (r.id == server_id{id}) {
+                r.incarnation_id = static_cast<incarnation>(born);
+            }
+        }
+        send_reports();
+    }
+
     /** Changes what the server reports, and sends the report. */
     void set_capacity(const std::string& id, const jobs::resources& capacity)
     {
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -110,6 +110,13 @@
         fake_worker worker{leader.loop, port};
         worker.crashing_job = jobs::job_id{1};
         leader.add_server("i-1", port);
+        // A server gets no start before the report of its new incarnation.
+        std::int64_t reported = worker.born;
+        const auto reports = leader.loop.every(20ms, [&] {
+            if (std::exchange(reported, worker.born) != worker.born) {
+                leader.set_incarnation("i-1", worker.born);
+            }
+        });
         leader.submit(1, make_short_step());
         const jobs::task_id task{jobs::job_id{1}, 0, 0, 0};
         const auto count_starts = [&] { return std::ranges::count(worker.starts, task.text()); };
