--- a/include/fescuestream/jobs/model.h
+++ b/include/fescuestream/jobs/model.h
@@ -206,7 +206,7 @@
 };
 constexpr run_outcome last_value(run_outcome /*type*/) noexcept
 {
-    return run_outcome::lost;
+    return run_outcome::server_crashed;
 }
 
 std::string_view name_of(run_outcome reason) noexcept;
--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -176,7 +176,7 @@
     /** Rebuilds the derived indexes. */
     void rebuild_indexes();
 
-    // The crash records are left out if there are none, as in snapshots of earlier versions.
+    // Empty fields at the end are omitted, as in snapshots of versions without them.
     template <class Archive>
     void save(Archive& archive) const
     {
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -385,6 +385,32 @@
     CHECK(s.frozen_leases.empty());
 }
 
+TEST_CASE("jobs: frozen leases and crash records are kept in a snapshot, alone or together")
+{
+    for (const bool frozen : {false, true}) {
+        for (const bool crashed : {false, true}) {
+            CAPTURE(frozen);
+            CAPTURE(crashed);
+            state s = state_with_job({make_step(2)});
+            begin_task(s, make_task_id(0, 0), 1);
+            if (crashed) {
+                crash_server_of_task(s, make_task_id(0, 1), 2);
+            }
+            if (frozen) {
+                apply(s, freeze_leases{{{server_a, 1, 500, false, {}}}, {}});
+            }
+            const std::string bytes = machine::encode_state(s);
+            const auto restored = machine::decode_state(bytes);
+            REQUIRE(ok(restored));
+            CHECK(value(restored).frozen_leases.contains(server_a) == frozen);
+            CHECK(value(restored).frozen_leases.size() == (frozen ? 1 : 0));
+            CHECK(value(restored).crash_records.contains(make_task_id(0, 1)) == crashed);
+            CHECK(value(restored).crash_records.size() == (crashed ? 1 : 0));
+            CHECK(machine::encode_state(value(restored)) == bytes);
+        }
+    }
+}
+
 TEST_CASE("jobs: a snapshot without frozen leases has the format of versions before them")
 {
     state s = state_with_job({make_step(1)});
