--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -372,6 +372,30 @@
     CHECK(leader.run_until([&] { return leader.task_is_waiting(); }, 1s));
 }
 
+// Listed in KNOWN-RED.txt: a new leader takes every server that it knows for alive.
+TEST_CASE("dispatcher: a server that stopped reporting gets no runs after a change of leader" *
+          doctest::may_fail())
+{
+    single_leader leader;
+    jobs::document doc;
+    doc.version = 1;
+    jobs::job_pool guarded;
+    guarded.enforces_capacity = true;
+    doc.pools.emplace(pool_id{}, guarded);
+    leader.log.propose_here(jobs::put_document{doc});
+    leader.report(base_port + 17);
+    leader.run_for(5s);
+    dispatcher work{leader.shared, leader.driver};
+    const auto timer = leader.loop.every(20ms, [&] { work.run_if_due(); });
+    leader.run_for(300ms);
+    REQUIRE(leader.log.state().find(task)->attempt == 0);
+    leader.driver.on_leadership_lost();
+    leader.driver.on_leadership_gained();
+    work.on_leadership_gained();
+    leader.run_for(300ms);
+    CHECK(leader.log.state().find(task)->attempt == 0);
+}
+
 TEST_CASE("driver: a task that falls below full work is not ready")
 {
     single_leader leader;
