Event loop: a manual clock for simulations

A loop that is made with a manual clock advances only in advance(), which runs the timers that become due in the order of their times, each in an iteration of its own. Other loops read the clock as before.

--- a/include/fescuestream/base/loop.h
+++ b/include/fescuestream/base/loop.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 struct ev_loop;
 
@@ -52,10 +53,17 @@
     bool writable{false};
 };
 
+/** Time at which the clock of an event loop for simulations starts. */
+struct manual_clock {
+    mono_time start{};
+};
+
 /** Thin wrapper around a libev loop. */
 class event_loop {
 public:
     event_loop();
+    /** Makes a loop for simulations: its clock and its timers only advance in advance(). */
+    explicit event_loop(manual_clock clock);
     ~event_loop();
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
@@ -63,6 +71,11 @@
     /** Runs until stop(). */
     void run();
     void stop();
+    /**
+     * Advances a manual clock. Runs the timers that become due in the order of their times, each in
+     * an iteration of its own.
+     */
+    void advance(milliseconds duration);
 
     /** Invokes the callback once after a delay. */
     [[nodiscard]] timer_handle after(milliseconds delay, std::function<void()> callback);
@@ -84,12 +97,15 @@
     void on_signal(int number, std::function<void()> callback);
 
     /** Reads the monotonic clock uncached, so that time spent in a stopped process is seen. */
-    mono_time now() const noexcept { return mono_clock::now(); }
+    mono_time now() const noexcept { return manual_now_ ? *manual_now_ : mono_clock::now(); }
 
     struct impl;
 
 private:
+    timer_handle add_timer(milliseconds first, milliseconds repeat, std::function<void()> callback);
+
     std::unique_ptr<impl> impl_;
+    std::optional<mono_time> manual_now_;
 };
 
 } // namespace fescue
--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -2,6 +2,8 @@
 
 #include <ev.h>
 
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace fescue {
@@ -13,17 +15,32 @@
     return static_cast<double>(duration.count()) / 1000.0;
 }
 
+/** When a timer of a manual clock is due; timers of the same time run in the order of creation. */
+using manual_due_time = std::pair<mono_time, std::uint64_t>;
+using manual_timers = std::map<manual_due_time, timer_handle::state*>;
+
 } // namespace
 
 struct timer_handle::state {
     struct ev_loop* loop{nullptr};
     ev_timer timer{};
     std::function<void()> callback;
+    /** Null, unless the loop has a manual clock. */
+    manual_timers* scheduled{nullptr};
+    manual_due_time due;
+    milliseconds repeat{0};
 
     state() = default;
     state(const state&) = delete;
     state& operator=(const state&) = delete;
-    ~state() { ev_timer_stop(loop, &timer); }
+    ~state()
+    {
+        if (scheduled != nullptr) {
+            scheduled->erase(due);
+        } else {
+            ev_timer_stop(loop, &timer);
+        }
+    }
 
     static void on_event(struct ev_loop* /*loop*/, ev_timer* watcher, int /*events*/)
     {
@@ -83,6 +100,8 @@
     mono_time iteration_began_at{mono_clock::now()};
     milliseconds slow_iteration_threshold{0};
     std::function<void(milliseconds)> slow_iteration_call;
+    manual_timers scheduled;
+    std::uint64_t next_manual_timer{0};
 
     static void on_check(struct ev_loop* /*loop*/, ev_check* watcher, int /*events*/)
     {
@@ -98,17 +117,21 @@
             slow_iteration_call(std::chrono::duration_cast<milliseconds>(took));
         }
     }
-    static void on_prepare(struct ev_loop* loop, ev_prepare* watcher, int /*events*/)
+    void end_iteration()
     {
-        auto& self = *static_cast<impl*>(watcher->data);
-        auto due_calls = std::move(self.deferred_calls);
-        self.deferred_calls.clear();
+        auto due_calls = std::move(deferred_calls);
+        deferred_calls.clear();
         for (auto& due_call : due_calls) {
             due_call();
         }
-        for (auto& end_call : self.iteration_end_calls) {
+        for (auto& end_call : iteration_end_calls) {
             end_call();
         }
+    }
+    static void on_prepare(struct ev_loop* loop, ev_prepare* watcher, int /*events*/)
+    {
+        auto& self = *static_cast<impl*>(watcher->data);
+        self.end_iteration();
         self.report_if_slow();
         if (self.deferred_calls.empty()) {
             ev_idle_stop(loop, &self.idle);
@@ -133,6 +156,11 @@
     ev_check_start(impl_->loop, &impl_->check);
 }
 
+event_loop::event_loop(manual_clock clock) : event_loop{}
+{
+    manual_now_ = clock.start;
+}
+
 event_loop::~event_loop()
 {
     for (auto& subscription : impl_->signal_watchers) {
@@ -154,32 +182,56 @@
     ev_break(impl_->loop, EVBREAK_ALL);
 }
 
-namespace {
+void event_loop::advance(milliseconds duration)
+{
+    const mono_time end = *manual_now_ + duration;
+    auto& scheduled = impl_->scheduled;
+    impl_->end_iteration();
+    while (!scheduled.empty() && scheduled.begin()->first.first <= end) {
+        timer_handle::state& next = *scheduled.begin()->second;
+        manual_now_ = next.due.first;
+        scheduled.erase(scheduled.begin());
+        if (next.repeat > milliseconds{0}) {
+            next.due = {next.due.first + next.repeat, impl_->next_manual_timer++};
+            scheduled.emplace(next.due, &next);
+        }
+        // The callback may destroy its own handle, so a copy is invoked.
+        const auto callback = next.callback;
+        callback();
+        impl_->end_iteration();
+    }
+    manual_now_ = end;
+}
 
-std::unique_ptr<timer_handle::state> make_timer(struct ev_loop* loop, milliseconds first,
-                                                milliseconds repeat, std::function<void()> callback)
+timer_handle event_loop::add_timer(milliseconds first, milliseconds repeat,
+                                   std::function<void()> callback)
 {
     auto subscription = std::make_unique<timer_handle::state>();
-    subscription->loop = loop;
+    subscription->loop = impl_->loop;
     subscription->callback = std::move(callback);
+    if (manual_now_) {
+        subscription->scheduled = &impl_->scheduled;
+        subscription->due = {*manual_now_ + first, impl_->next_manual_timer++};
+        subscription->repeat = repeat;
+        impl_->scheduled.emplace(subscription->due, subscription.get());
+        return timer_handle{std::move(subscription)};
+    }
     ev_timer_init(&subscription->timer, &timer_handle::state::on_event, to_seconds(first),
                   to_seconds(repeat));
     subscription->timer.data = subscription.get();
-    ev_now_update(loop);
-    ev_timer_start(loop, &subscription->timer);
-    return subscription;
+    ev_now_update(impl_->loop);
+    ev_timer_start(impl_->loop, &subscription->timer);
+    return timer_handle{std::move(subscription)};
 }
 
-} // namespace
-
 timer_handle event_loop::after(milliseconds delay, std::function<void()> callback)
 {
-    return timer_handle{make_timer(impl_->loop, delay, milliseconds{0}, std::move(callback))};
+    return add_timer(delay, milliseconds{0}, std::move(callback));
 }
 
 timer_handle event_loop::every(milliseconds period, std::function<void()> callback)
 {
-    return timer_handle{make_timer(impl_->loop, period, period, std::move(callback))};
+    return add_timer(period, period, std::move(callback));
 }
 
 io_handle event_loop::watch(int fd, io_interest interest, std::function<void(io_interest)> callback)
--- a/tests/unit/event_loop_test.cpp
+++ b/tests/unit/event_loop_test.cpp
@@ -22,3 +22,22 @@
     CHECK(reported.front() >= 60ms);
     CHECK(reported.front() < 120ms);
 }
+
+TEST_CASE("event loop: a manual clock runs the timers in the order of their times")
+{
+    const mono_time start{1000s};
+    event_loop loop{manual_clock{start}};
+    std::vector<std::pair<char, mono_clock::duration>> calls;
+    const auto record = [&](char name) { calls.emplace_back(name, loop.now() - start); };
+    const auto repeated = loop.every(20ms, [&] { record('r'); });
+    timer_handle cancelled = loop.after(45ms, [&] { record('c'); });
+    const auto canceller = loop.after(30ms, [&] {
+        record('a');
+        cancelled = {};
+        loop.defer([&] { record('d'); });
+    });
+    loop.advance(50ms);
+    CHECK(loop.now() == start + 50ms);
+    const decltype(calls) expected{{'r', 20ms}, {'a', 30ms}, {'d', 30ms}, {'r', 40ms}};
+    CHECK(calls == expected);
+}
