--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -14,8 +14,10 @@
 using jobs::run_outcome;
 using jobs::task_id;
 
-run_driver::run_driver(core_context& shared, std::function<void()> capacity_changed)
-    : context_{shared}, capacity_changed_{std::move(capacity_changed)}
+run_driver::run_driver(core_context& shared, std::function<void()> capacity_changed,
+                       std::size_t min_busy_servers_for_relays)
+    : context_{shared}, capacity_changed_{std::move(capacity_changed)},
+      min_busy_servers_for_relays_{min_busy_servers_for_relays}
 {
 }
 
@@ -327,7 +329,7 @@
     const mono_time now = context_.now();
     std::vector<server_id> expired;
     jobs::freeze_leases freeze_changes;
-    context_.order_relay.enable(busy_servers_ >= min_busy_servers_for_relays);
+    context_.order_relay.enable(busy_servers_ >= min_busy_servers_for_relays_);
     busy_servers_ = 0;
     for (auto& [id, view] : servers_) {
         busy_servers_ += view.runs.empty() ? 0 : 1;
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -7,6 +7,7 @@
  */
 
 #include "core_context.h"
+#include "run_timing.h"
 #include "server_view.h"
 
 #include "fescuestream/wire/message.h"
@@ -24,8 +25,13 @@
 
 class run_driver {
 public:
-    /** @param capacity_changed called when servers may have capacity for more runs. */
-    run_driver(core_context& shared, std::function<void()> capacity_changed);
+    /**
+     * @param capacity_changed called when servers may have capacity for more runs.
+     * @param min_busy_servers_for_relays number of servers with runs from which on orders are sent
+     * through relay peers.
+     */
+    run_driver(core_context& shared, std::function<void()> capacity_changed,
+               std::size_t min_busy_servers_for_relays = default_min_busy_servers_for_relays);
 
     /** Called when this instance becomes the leader. */
     void on_leadership_gained();
@@ -151,6 +157,7 @@
     std::map<server_id, mono_time> frozen_lease_expiry_;
     /** By when every lease has expired that an earlier leader may have granted. */
     mono_time earlier_leaders_leases_expire_at_{};
+    std::size_t min_busy_servers_for_relays_;
     bool leading_{false};
     term_number term_{0};
     std::size_t outstanding_orders_{0};
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -26,7 +26,7 @@
 /** Delay after an unanswered poll, multiplied by the number of consecutive failures. */
 inline constexpr milliseconds retry_delay{150};
 /** With fewer busy servers, relaying through another scheduler costs more than it saves. */
-inline constexpr std::size_t min_busy_servers_for_relays = 64;
+inline constexpr std::size_t default_min_busy_servers_for_relays = 64;
 /** Time after the start of a long-running task in which its server is polled without waiting until
  * the task is at full work: until then no other task of its step can be moved. Users' tasks reach
  * it within about one second. */
