Replica: a vote of a lost disk elects nobody after the disk was replaced

Callers saw nothing: found by reading, and shown by the test. With an odd number of voters a wiped one was replaced in a single change, so {A,B,C} and {A,B,C'} had disjoint majorities, {B,C} and {A,C'}. The leader A was suspended, C voted for B, C's disk was lost before its vote arrived, and A, which went on, replaced C by C' and committed entries with C' alone while B was partitioned. The late vote then made B the leader of a higher term without these entries, and it removed them from A and C'. A start of a run that was sent in that time was gone from the log, so the next leader could start the task again with the same attempt.

Change: if a majority of the new voters need not share a voter with a majority of the present ones, the change passes through a joint configuration: elections, commits and the contact of the leader lease need a majority of both. Once that is committed, the leader, or the next one, appends the new configuration alone. Adding and removing one voter, and replacing one of an even number, are single changes as before. The number of voters never falls below that needed to serve, which removing the old voter first would do.

Stored data: a configuration has another field at its end while it is joint.

--- a/include/fescuestream/consensus/message.h
+++ b/include/fescuestream/consensus/message.h
@@ -34,24 +34,61 @@
     }
 };
 
+/** @return the number of voters that is more than half of this many. */
+constexpr std::size_t majority_of(std::size_t voter_count) noexcept
+{
+    return voter_count / 2 + 1;
+}
+
 /** The voters. Cluster 0 means that the instance has never been part of a formed cluster. */
 struct configuration {
     std::uint64_t cluster{0};
     std::vector<voter> voters;
+    /**
+     * Voters of the configuration that this one replaces. While there are any (joint consensus),
+     * every decision needs a majority of them as well as a majority of the voters.
+     */
+    std::vector<voter> outgoing;
 
     bool contains(const voter& v) const
     {
         return std::find(voters.begin(), voters.end(), v) != voters.end();
     }
-    std::size_t majority() const noexcept { return voters.size() / 2 + 1; }
+    bool is_joint() const noexcept { return !outgoing.empty(); }
+    /** @return whether the voter takes part in decisions. */
+    bool may_vote(const voter& v) const
+    {
+        return contains(v) || std::find(outgoing.begin(), outgoing.end(), v) != outgoing.end();
+    }
 
+    // The field at the end is omitted if empty, as in logs of versions without it.
     template <class Archive>
-    void serialize(Archive& archive)
+    void save(Archive& archive) const
     {
         archive(cluster, voters);
+        if (!outgoing.empty()) {
+            archive(outgoing);
+        }
+    }
+    template <class Archive>
+    void load(Archive& archive)
+    {
+        archive(cluster, voters);
+        if (archive.remaining() > 0) {
+            archive(outgoing);
+        }
     }
 };
 
+/** @return whether a majority of one configuration always shares a voter with one of the other. */
+inline bool majorities_overlap(const configuration& a, const configuration& b)
+{
+    const auto shared = static_cast<std::size_t>(std::count_if(
+        a.voters.begin(), a.voters.end(), [&](const voter& v) { return b.contains(v); }));
+    const std::size_t all = a.voters.size() + b.voters.size() - shared;
+    return majority_of(a.voters.size()) + majority_of(b.voters.size()) > all;
+}
+
 struct append_request {
     term_number term{0};
     log_index prev_index{0};
--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -61,7 +61,7 @@
     hard_state_.term = 1;
     hard_state_.voted_for = self_;
     store_.save_hard_state(hard_state_);
-    const configuration initial{cluster, {voter{self_, disk_}}};
+    const configuration initial{cluster, {voter{self_, disk_}}, {}};
     append_entry({1, last_index() + 1, store::entry_kind::configuration, to_bytes(initial)});
     become_leader(now);
     return true;
@@ -141,11 +141,16 @@
 bool replica<Store>::propose_configuration(const configuration& next)
 {
     const bool previous_committed = configurations_.back().first <= commit_;
-    if (!settled() || !previous_committed || next.voters.empty()) {
+    if (!settled() || !previous_committed || voters().is_joint() || next.voters.empty()) {
         return false;
     }
-    append_entry(
-        {hard_state_.term, last_index() + 1, store::entry_kind::configuration, to_bytes(next)});
+    configuration first_step = next;
+    first_step.outgoing.clear();
+    if (!majorities_overlap(voters(), next)) {
+        first_step.outgoing = voters().voters;
+    }
+    append_entry({hard_state_.term, last_index() + 1, store::entry_kind::configuration,
+                  to_bytes(first_step)});
     return true;
 }
 
@@ -162,7 +167,8 @@
 bool replica<Store>::may_defer_sync(mono_time now) const
 {
     const std::size_t voter_count = voters().voters.size();
-    const bool quorum_without_self = voter_count >= 2 && voter_count - 2 >= voters().majority();
+    const bool quorum_without_self =
+        voter_count >= 2 && voter_count - 2 >= majority_of(voter_count) && !voters().is_joint();
     const bool replies_pending = !messages_after_sync_.empty() || !pending_replies_.empty();
     return role_ == role::leader && quorum_without_self && !replies_pending &&
            now - *unsynced_since_ < timing_.leader_sync_delay;
@@ -233,6 +239,7 @@
     }
     if (role_ == role::leader) {
         advance_commit();
+        complete_transition();
     }
     apply_committed(out);
     send_replies(now, out);
@@ -518,22 +525,27 @@
     request.last_index = last_index();
     request.last_term = term_at(last_index());
     request.disk = disk_;
-    for (const voter& v : voters().voters) {
-        if (v.id != self_) {
-            messages_after_sync_.emplace_back(v.id, request);
+    std::set<instance_id> others;
+    for (const auto& voters_asked : {voters().voters, voters().outgoing}) {
+        for (const voter& v : voters_asked) {
+            others.insert(v.id);
         }
     }
+    others.erase(self_);
+    for (const instance_id& id : others) {
+        messages_after_sync_.emplace_back(id, request);
+    }
     count_vote({self_, disk_}, now);
 }
 
 template <log_store Store>
 void replica<Store>::count_vote(const voter& from, mono_time now)
 {
-    if (!voters().contains(from)) {
+    if (!voters().may_vote(from)) {
         return;
     }
     votes_.insert(from);
-    if (votes_.size() < voters().majority()) {
+    if (!reached_by_quorum([&](const voter& v) { return votes_.contains(v); })) {
         return;
     }
     if (pre_voting_) {
@@ -576,28 +588,44 @@
     election_deadline_ = now + timing_.election + milliseconds{extra(random_)};
 }
 
+template <log_store Store>
+template <class ValueOf>
+auto replica<Store>::reached_by_majority(const std::vector<voter>& voters, const ValueOf& value_of)
+{
+    std::vector<decltype(value_of(voter{}))> values;
+    for (const voter& v : voters) {
+        values.push_back(value_of(v));
+    }
+    std::sort(values.begin(), values.end(), std::greater<>{});
+    return values.empty() ? decltype(value_of(voter{})){} : values[majority_of(values.size()) - 1];
+}
+
+template <log_store Store>
+template <class ValueOf>
+auto replica<Store>::reached_by_quorum(const ValueOf& value_of) const
+{
+    const auto reached = reached_by_majority(voters().voters, value_of);
+    return voters().is_joint() ? std::min(reached, reached_by_majority(voters().outgoing, value_of))
+                               : reached;
+}
+
 template <log_store Store>
 mono_time replica<Store>::quorum_contact() const
 {
-    std::vector<mono_time> contacts;
-    for (const voter& v : voters().voters) {
+    return reached_by_quorum([&](const voter& v) {
         const auto found = peers_.find(v.id);
-        if (v.id == self_) {
-            contacts.push_back(internal::self_contact_time);
-        } else if (found != peers_.end() && found->second.disk == v.disk) {
-            contacts.push_back(found->second.last_contact);
-        } else {
-            contacts.push_back(mono_time{});
+        if (v == voter{self_, disk_}) {
+            return internal::self_contact_time;
         }
-    }
-    std::sort(contacts.begin(), contacts.end(), std::greater<>{});
-    return contacts.empty() ? mono_time{} : contacts[voters().majority() - 1];
+        return found != peers_.end() && found->second.disk == v.disk ? found->second.last_contact
+                                                                     : mono_time{};
+    });
 }
 
 template <log_store Store>
 bool replica<Store>::is_voter() const
 {
-    return formed() && voters().contains({self_, disk_});
+    return formed() && voters().may_vote({self_, disk_});
 }
 
 template <log_store Store>
@@ -659,24 +687,29 @@
 template <log_store Store>
 void replica<Store>::advance_commit()
 {
-    std::vector<log_index> matches;
-    for (const voter& v : voters().voters) {
+    const log_index quorum_match = reached_by_quorum([&](const voter& v) {
         const auto found = peers_.find(v.id);
-        if (v.id == self_) {
-            matches.push_back(v.disk == disk_ ? synced_ : 0);
-        } else if (found != peers_.end() && found->second.disk == v.disk) {
-            matches.push_back(found->second.match);
-        } else {
-            matches.push_back(0);
+        if (v == voter{self_, disk_}) {
+            return synced_;
         }
-    }
-    std::sort(matches.begin(), matches.end(), std::greater<>{});
-    const log_index quorum_match = matches[voters().majority() - 1];
+        return found != peers_.end() && found->second.disk == v.disk ? found->second.match
+                                                                     : log_index{0};
+    });
     if (quorum_match > commit_ && term_at(quorum_match) == hard_state_.term) {
         commit_ = quorum_match;
     }
 }
 
+template <log_store Store>
+void replica<Store>::complete_transition()
+{
+    if (voters().is_joint() && configurations_.back().first <= commit_) {
+        const configuration next{voters().cluster, voters().voters, {}};
+        append_entry(
+            {hard_state_.term, last_index() + 1, store::entry_kind::configuration, to_bytes(next)});
+    }
+}
+
 template <log_store Store>
 void replica<Store>::apply_committed(const outputs& out)
 {
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -130,9 +130,10 @@
     /** Appends a command. @return its index, or nullopt when this is not the leader. */
     std::optional<log_index> propose(std::string command);
     /**
-     * Proposes a configuration, which must differ from the current one by one voter. @return false
-     * when this is not a settled leader, the previous change is not committed yet, or the
-     * configuration has no voters.
+     * Proposes a configuration. If a majority of it may share no voter with a majority of the
+     * current one, decisions need both from now on until the leader has committed that; then it
+     * proposes the configuration alone. @return false when this is not a settled leader, the
+     * previous change is not complete yet, or the configuration has no voters.
      */
     bool propose_configuration(const configuration& next);
     /**
@@ -205,6 +206,14 @@
     /** Installs a snapshot beyond the commit index. */
     void replace_log_prefix(const store::snapshot& snap);
     void advance_commit();
+    /** Ends a committed transition between two configurations. */
+    void complete_transition();
+    /** @return the highest value that a majority of the voters has reached. */
+    template <class ValueOf>
+    static auto reached_by_majority(const std::vector<voter>& voters, const ValueOf& value_of);
+    /** @return the highest value that every majority needed for a decision has reached. */
+    template <class ValueOf>
+    auto reached_by_quorum(const ValueOf& value_of) const;
     void apply_committed(const outputs& out);
     void send_appends(mono_time now, const outputs& out);
     void send_append(const instance_id& to, progress& p, mono_time now, const outputs& out);
--- a/tests/fakes/replica_group.h
+++ b/tests/fakes/replica_group.h
@@ -8,7 +8,10 @@
 
 #include "fescuestream/consensus/replica.h"
 
+#include <algorithm>
 #include <deque>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <random>
@@ -149,6 +152,7 @@
         }
     }
 
+    /** Ends a member. What it has sent is lost too, unless it is withheld. */
     void crash(const instance_id& id)
     {
         members_[id].log.reset();
@@ -200,6 +204,17 @@
     milliseconds large_delay{0};
     /** Number of large append requests sent so far. */
     int large_sent{0};
+    /** Selects the messages that stay in the network until release_withheld(). */
+    std::function<bool(const instance_id& from, const instance_id& to, const consensus::message&)>
+        withholds;
+
+    /** Delivers the withheld messages in the next step, whether or not their senders still run. */
+    void release_withheld()
+    {
+        withholds = nullptr;
+        std::ranges::move(std::exchange(withheld_, {}), std::back_inserter(in_flight_));
+    }
+    std::size_t withheld_count() const noexcept { return withheld_.size(); }
 
     /** Replaces a member's log by a snapshot of what it has applied. */
     status compact(const instance_id& id)
@@ -247,6 +262,10 @@
 
     void send(packet&& p)
     {
+        if (withholds && withholds(p.from, p.to, p.m)) {
+            withheld_.push_back(std::move(p));
+            return;
+        }
         const auto* append = std::get_if<consensus::append_request>(&p.m);
         const bool large = append != nullptr && is_large(*append);
         large_sent += large ? 1 : 0;
@@ -285,6 +304,7 @@
 
     std::map<instance_id, member> members_;
     std::deque<packet> in_flight_;
+    std::vector<packet> withheld_;
     std::multimap<mono_time, packet> delayed_;
     std::mt19937_64 random_;
     consensus::timing intervals_;
