Replica: a higher term does not end a follower's promise to its leader

Callers saw nothing: found by reading. A leader answers reads and sends orders while a majority has been in contact with it within the election timeout, because these voters vote for nobody in that time. A follower that learned of a higher term from a late reply, such as the refusal of a vote for which it had asked before, forgot its leader and with it this promise: it could vote at once, while the leader still held its lease.

The time of the contact counts now, whether or not the leader is still known. It is at least one election timeout old whenever a replica becomes a candidate, so elections take no longer.

--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -395,8 +395,9 @@
     reply.pre_vote = m.pre_vote;
     reply.disk = disk_;
     const bool log_up_to_date = log_is_up_to_date(m.last_index, m.last_term);
+    // Also if the leader's term is over: the leader may not know that yet.
     const bool leader_active = role_ == role::leader || now < no_vote_before_ ||
-                               (!leader_.empty() && now - last_leader_contact_ < timing_.election);
+                               now - last_leader_contact_ < timing_.election;
     if (m.pre_vote) {
         reply.granted = m.term > hard_state_.term && log_up_to_date && !leader_active && disk_ != 0;
         // A refusal carries this replica's term: a candidate with an older term but a longer log
--- a/tests/unit/replica_messages_test.cpp
+++ b/tests/unit/replica_messages_test.cpp
@@ -55,6 +55,7 @@
     mono_time now{std::chrono::hours{1}};
     replica<Store> log{self_id, 2, Store{disk}, {}, "noop", {}, 1, now};
     std::vector<append_reply> replies;
+    std::vector<vote_reply> votes;
 
     follower()
     {
@@ -66,6 +67,8 @@
         return log.flush(now, {[this](const instance_id&, const message& m) {
                                    if (const auto* reply = std::get_if<append_reply>(&m)) {
                                        replies.push_back(*reply);
+                                   } else if (const auto* vote = std::get_if<vote_reply>(&m)) {
+                                       votes.push_back(*vote);
                                    }
                                },
                                [](const store::log_entry&) {},
@@ -146,6 +149,25 @@
     CHECK(f.replies.front().match == 3);
 }
 
+TEST_CASE(
+    "a follower that learns of a higher term keeps its vote for as long as its leader's lease")
+{
+    const instance_id candidate{"b"};
+    follower<> f;
+    REQUIRE_FALSE(f.flush());
+    // The refusal of a vote for which the follower asked before it followed the leader.
+    f.log.step(candidate, vote_reply{5, false, false, 3}, f.now);
+    f.log.step(candidate, vote_request{6, false, 10, 5, 3}, f.now);
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.votes.size() == 1);
+    CHECK_FALSE(f.votes.back().granted);
+    f.now += timing{}.election;
+    f.log.step(candidate, vote_request{6, false, 10, 5, 3}, f.now);
+    REQUIRE_FALSE(f.flush());
+    REQUIRE(f.votes.size() == 2);
+    CHECK(f.votes.back().granted);
+}
+
 TEST_CASE("what matched an earlier leader's log is not reported as matching the next leader's")
 {
     follower<> f;
