--- a/tests/fakes/replica_group.h
+++ b/tests/fakes/replica_group.h
@@ -152,11 +152,17 @@
         }
     }
 
-    /** Ends a member. What it has sent is lost too, unless it is withheld. */
+    /** Ends a member. What it has sent is lost too, unless sent_survives_crash is set or the
+     * message is withheld. */
     void crash(const instance_id& id)
     {
         members_[id].log.reset();
-        const auto concerns = [&](const packet& p) { return p.to == id || p.from == id; };
+        const auto concerns = [&](const packet& p) {
+            return p.to == id || (p.from == id && !sent_survives_crash);
+        };
+        std::erase_if(last_arrival_, [&](const auto& link) {
+            return link.first.first == id || link.first.second == id;
+        });
         std::erase_if(in_flight_, concerns);
         std::erase_if(delayed_, [&](const auto& d) { return concerns(d.second); });
     }
@@ -202,6 +208,10 @@
     double drop_probability{0};
     /** Large append requests take up to this time, and other messages overtake them. */
     milliseconds large_delay{0};
+    /** Every message takes up to this time; those of one process to another keep their order. */
+    milliseconds message_delay{0};
+    /** What a member has sent arrives although it has crashed since. */
+    bool sent_survives_crash{false};
     /** Number of large append requests sent so far. */
     int large_sent{0};
     /** Selects the messages that stay in the network until release_withheld(). */
@@ -266,6 +276,13 @@
             withheld_.push_back(std::move(p));
             return;
         }
+        if (message_delay.count() > 0) {
+            std::uniform_int_distribution<milliseconds::rep> delay{0, message_delay.count()};
+            mono_time& arrival = last_arrival_[{p.from, p.to}];
+            arrival = std::max(arrival, now + milliseconds{delay(random_)});
+            delayed_.emplace(arrival, std::move(p));
+            return;
+        }
         const auto* append = std::get_if<consensus::append_request>(&p.m);
         const bool large = append != nullptr && is_large(*append);
         large_sent += large ? 1 : 0;
@@ -306,6 +323,7 @@
     std::deque<packet> in_flight_;
     std::vector<packet> withheld_;
     std::multimap<mono_time, packet> delayed_;
+    std::map<std::pair<instance_id, instance_id>, mono_time> last_arrival_;
     std::mt19937_64 random_;
     consensus::timing intervals_;
     incarnation next_disk_id_{1};
