--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -201,6 +201,7 @@
         log::info("state_restored",
                   {{"applied", log->replica().applied()}, {"jobs", log->state().jobs.size()}});
         runs->on_state_restored();
+        machines->on_state_restored();
         task_dispatcher->request_round();
     }
 
--- a/tests/unit/store_test.cpp
+++ b/tests/unit/store_test.cpp
@@ -1,5 +1,6 @@
 #include "fescuestream/store/store.h"
 
+#include "fakes/temporary_folder.h"
 #include "fescuestream/base/codec.h"
 
 #include <doctest/doctest.h>
@@ -13,24 +14,11 @@
 
 using namespace fescue;
 using namespace fescue::store;
+using fakes::temporary_folder;
 namespace fs = std::filesystem;
 
 namespace {
 
-/** A folder that is removed at the end of the test. */
-struct temporary_folder {
-    temporary_folder()
-    {
-        std::string pattern = (fs::temp_directory_path() / "fescue-store-XXXXXX").string();
-        path = ::mkdtemp(pattern.data());
-    }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-    ~temporary_folder() { fs::remove_all(path); }
-    std::string file(const char* name) const { return (path / name).string(); }
-    fs::path path;
-};
-
 std::string read(const std::string& file)
 {
     std::ifstream in{file, std::ios::binary};
