--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -6,7 +6,9 @@
 #include "fakes/replica_group.h"
 
 #include <doctest/doctest.h>
+
 #include <nlohmann/json.hpp>
+#include <random>
 
 using namespace fescue;
 using namespace fescue::fleet;
@@ -62,6 +64,40 @@
     CHECK_FALSE(view.is_lease_expired(t + 1min));
 }
 
+TEST_CASE("server_view: a lease has expired once the time that was left of it has passed")
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random{seed};
+        const auto ms_below = [&](std::uint64_t bound) {
+            return milliseconds{static_cast<milliseconds::rep>(random() % bound)};
+        };
+        const double rate = min_clock_rate + static_cast<double>(random() % 41) / 1000;
+        const mono_time started_at{1h};
+        const auto server_ms = [&](mono_time at) {
+            const std::chrono::duration<double, std::milli> elapsed = at - started_at;
+            return elapsed.count() * rate;
+        };
+        server_view view;
+        mono_time now = started_at + 10s;
+        view.inherited_lease_expires_at = now + ms_below(6000);
+        double inherited_end_ms = server_ms(view.inherited_lease_expires_at);
+        double lease_end_ms = 0;
+        for (int renewals = 0; renewals < 5; ++renewals) {
+            const mono_time read_at = now;
+            now += ms_below(1200);
+            view.clock.record_reading(static_cast<std::int64_t>(server_ms(read_at)), now);
+            now += ms_below(2000);
+            view.lease_end_ms = std::max(view.lease_end_ms, *view.clock.lower_bound(now) + 3600);
+            lease_end_ms = static_cast<double>(view.lease_end_ms);
+        }
+        now += ms_below(3000);
+        const mono_time expired_at = now + view.remaining_lease(now);
+        CHECK(server_ms(expired_at) >= lease_end_ms);
+        CHECK(server_ms(expired_at) >= inherited_end_ms);
+    }
+}
+
 TEST_CASE("plan_voters: every scheduler that has caught up becomes a voter, one at a time")
 {
     const mono_time now{1h};
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -345,6 +345,26 @@
     CHECK(leader.ends.empty());
 }
 
+TEST_CASE("driver: a bound that is restored from a snapshot ends no run before its lease is over")
+{
+    for (const milliseconds time_as_follower : {200ms, 2500ms}) {
+        single_leader leader;
+        scripted_server server{leader.loop, base_port + 22};
+        leader.report(base_port + 22);
+        leader.begin();
+        REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+        server.silent = true;
+        REQUIRE(leader.run_until([&] { return leader.log.state().frozen_leases.contains(worker); },
+                                 3s));
+        leader.driver.on_leadership_lost();
+        leader.run_for(time_as_follower);
+        leader.driver.on_state_restored();
+        leader.driver.on_leadership_gained();
+        REQUIRE(leader.run_until([&] { return !leader.ends.empty(); }, 10s));
+        CHECK(server.lease_has_expired());
+    }
+}
+
 TEST_CASE("driver: a run on a server without a report does not end the process")
 {
     single_leader leader;
