Soak: servers that forget, calls that arrive late and schedulers under faults

The faults of the servers end with those of the schedulers. 12.5 s later, when the last late order has been carried out, the calm time begins in which long-running tasks must run.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,8 @@
 
 # A restarted scheduler counts as lost until its log has caught up; the deployments allow 4 to 6 s for that.
 CATCH_UP_SECONDS = 5.0
+# An order to a forgetful server is carried out up to this much later.
+LATEST_ORDER_SECONDS = 12.5
 # A process that was started this long ago has installed its signal handlers.
 START_SECONDS = 1.0
 
@@ -21,13 +23,17 @@
         self.schedulers, self.entries, self.rng = schedulers, entries, rng
         self.faults, self.violations = [], []
         self.farm = None  # the process of worker_farm
+        self.began_at = 0.0
 
     def run(self, end_at, mode):
         """Waits for a scheduler to catch up after each of its unplanned faults and after each series, since three
         schedulers tolerate the loss of only one."""
+        self.began_at = now()
         while now() < end_at:
             if mode == "lost":
                 self.lose_server_while_leaders_change()
+            elif mode == "forgetful":
+                self.disturb_schedulers()
             elif mode == "planned" or self.rng.random() < 0.4:
                 series = self.rng.choice([self.stop_one, self.stop_all_entries, self.stop_entry_then_schedulers,
                                           self.stop_schedulers_in_turn, self.stop_entry_during_restarts, self.reload])
@@ -132,6 +138,43 @@
         # The lost tasks become due.
         time.sleep(CATCH_UP_SECONDS)
 
+    def disturb_schedulers(self):
+        """Stops, kills and pauses one or more schedulers, most often the leader, at overlapping times. Their disks
+        stay, so that no more than their availability suffers."""
+        leader = self.leader()
+        others = [s for s in self.schedulers if s is not leader]
+        victims = [leader] if self.rng.random() < 0.8 else []
+        victims += self.rng.sample(others, self.rng.choice([0, 0, 1, len(others)]))
+        threads = []
+        for victim in victims:
+            fault = self.rng.choice([self.restart, self.kill_and_start, self.pause, self.pause])
+            seconds = self.rng.uniform(0.3, 3.0) if fault == self.pause else self.rng.uniform(0.05, 1.5)
+            threads.append(threading.Timer(self.rng.uniform(0.0, 1.0), fault, (victim, seconds)))
+            threads[-1].start()
+        for t in threads:
+            t.join()
+        time.sleep(self.rng.uniform(0.5, 3.0))
+
+    def kill_and_start(self, instance, down_seconds):
+        fault = self.record("kill", instance, planned=False)
+        instance.kill()
+        time.sleep(down_seconds)
+        instance.start()
+        fault.ended_at = now()
+
+    def pause(self, instance, seconds):
+        fault = self.record("pause", instance, planned=False)
+        instance.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        instance.send_signal(signal.SIGCONT)
+        fault.ended_at = now()
+
+    def end_server_faults(self):
+        """Ends the faults of forgetful servers and waits until the calls that are delayed have arrived."""
+        self.farm.send_signal(signal.SIGUSR2)
+        time.sleep(LATEST_ORDER_SECONDS)
+        self.faults.append(Fault("forgetful servers", "worker_farm", self.began_at, now(), planned=True))
+
     def reload(self):
         """Sends SIGHUP to some instances, one of which is stopped shortly after."""
         chosen = self.rng.sample(self.schedulers + self.entries, 2)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
     soak.py --first 1 --seeds 50            fifty seeds, one after the other
     soak.py --planned --first 1             the same with planned stops as the only faults
     soak.py --lost-servers --first 1        the same with servers that disappear while the leader changes
+    soak.py --forgetful-servers --first 1   with servers that restart, and calls of and to them that arrive late
     soak.py --capacity unenforced           with servers whose capacity varies and which start whatever they are told
     soak.py --regression                    the seeds in regression_seeds.txt
 """
@@ -39,6 +40,8 @@
 CAPACITY_ARGS = {"fixed": [], "enforced": ["--varying-capacity", "--server-cpu", "4000"],
                  "unenforced": ["--varying-capacity", "--server-cpu", "4000", "--unenforced-capacity"]}
 REPORT_PERIOD_MS = 500
+# Longest leases that forgetful servers grant, by the seed.
+MAX_LEASES_MS = [6000, 10000]
 # Long enough for a long-running task to become due.
 CALM_AT_END_SECONDS = checks.CALM_SECONDS + 1.5
 
@@ -113,6 +116,8 @@
         bounds = {"grace_s": checks.GRACE_SECONDS}
         if capacity != "fixed":  # older programs don't have this bound
             bounds["report_period_ms"] = REPORT_PERIOD_MS
+        if mode == "forgetful":
+            bounds["longest_lease_ms"] = MAX_LEASES_MS[seed % 2]
         self.instances = [Instance(args.fescued, self.folder, i, i < args.schedulers, seeds, bounds)
                           for i in range(count)]
         self.schedulers, self.entries = self.instances[:args.schedulers], self.instances[args.schedulers:]
@@ -124,6 +129,8 @@
         args = [BUILD / "tests/worker_farm", "--servers", "10", "--rate", "6", "--tasks", "4", "--task-ms", "300",
                 "--seconds", "0", "--seed", str(self.seed), "--first-port", "21000"]
         args += CAPACITY_ARGS[self.capacity]
+        if self.mode == "forgetful":
+            args += ["--forgetful", "--max-lease-ms", str(MAX_LEASES_MS[self.seed % 2])]
         for i in self.schedulers:
             args += ["--control", f"{i.address}:{CONTROL_PORT}"]
         for i in self.entries:
@@ -142,6 +149,8 @@
                                    CALLER_PORT, CONTROL_PORT, self.args.callers or (3, 12)[self.seed % 2], self.seed)
             time.sleep(2.0)
             self.injector.run(now() + self.seconds - 2.0, self.mode)
+            if self.mode == "forgetful":
+                self.injector.end_server_faults()
             time.sleep(CALM_AT_END_SECONDS)
             end_at = now()
             self.callers.stop()  # worker_farm runs on, since the accepted jobs must complete
@@ -185,11 +194,12 @@
         out, started_at = {}, {}
         for what, task, at_ms in re.findall(r"^LONG-RUNNING (\w+) (\S+) (\d+)$", output, re.MULTILINE):
             if what == "started":
-                started_at[task] = int(at_ms) / 1000
+                started_at.setdefault(task, []).append(int(at_ms) / 1000)
             else:
-                out.setdefault(task, []).append((started_at.pop(task), int(at_ms) / 1000))
+                # worker_farm reports two runs at once; which of them ends first makes no difference here.
+                out.setdefault(task, []).append((started_at[task].pop(0), int(at_ms) / 1000))
         for task, began_at in started_at.items():
-            out.setdefault(task, []).append((began_at, float("inf")))
+            out.setdefault(task, []).extend((t, float("inf")) for t in began_at)
         return out
 
     def write_report(self, violations):
@@ -219,7 +229,7 @@
 
 
 def regression_seeds():
-    """(seed, faults: mixed, planned or lost, seconds with faults, capacity) of each line."""
+    """(seed, faults: mixed, planned, lost or forgetful, seconds with faults, capacity) of each line."""
     lines = (HERE / "regression_seeds.txt").read_text().splitlines()
     fields = [line.split() for line in lines if line.strip() and not line.startswith("#")]
     return [(int(f[0]), f[1], float(f[2]), f[3]) for f in fields]
@@ -233,6 +243,7 @@
     modes = parser.add_mutually_exclusive_group()
     modes.add_argument("--planned", dest="mode", action="store_const", const="planned", default="mixed")
     modes.add_argument("--lost-servers", dest="mode", action="store_const", const="lost")
+    modes.add_argument("--forgetful-servers", dest="mode", action="store_const", const="forgetful")
     parser.add_argument("--capacity", choices=sorted(CAPACITY_ARGS), default="fixed",
                         help="how the servers' capacity behaves")
     parser.add_argument("--schedulers", type=int, default=3)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,6 +6,7 @@
 import checks
 from callers import Request
 from checks import Fault
+from soak import Run
 
 ENTRY, OTHER = "127.0.0.14", "127.0.0.15"
 CUT = Request(ENTRY, "GET", "/j/a", 3.0, sent_at=10.0, ended_at=10.5)
@@ -58,6 +59,14 @@
                          0)
 
 
+class LongRunningRuns(unittest.TestCase):
+    def test_two_runs_at_once(self):
+        output = "".join(f"LONG-RUNNING {what} a.0.0.0 {at_ms}\n" for what, at_ms in [
+            ("started", 1000), ("started", 2000), ("failed", 3000), ("stopped", 4000), ("started", 5000)])
+        self.assertEqual(Run.long_running_runs(output),
+                         {"a.0.0.0": [(1.0, 3.0), (2.0, 4.0), (5.0, float("inf"))]})
+
+
 class TasksOfLostServers(unittest.TestCase):
     def count(self, runs, *faults, end_at=30.0):
         return len(checks.tasks_of_lost_servers({"a.0.0.0": runs}, {10.0}, list(faults), end_at))
