Dispatcher: sound suspects do not wait for each other one by one

Cause: a suspect of several crashes had a server to itself, whatever the number of suspects, tasks of one job included. All members of a crashed server became suspects of their own, and stayed suspects after the task that caused the crash had been given up.

Change: suspects of one job share a server. If there are more jobs with suspects than reserved servers, the groups grow; only jobs that one more crash may convict (three of four) run apart. Crashes under a task that has been given up no longer count against its companions, unless they have lost three runs. Servers that other tasks do not need are reserved beyond half of the pool. A suspect started on an idle server reserves it at once. A suspect near conviction waits 20 s before it shares a server, and no suspect of several crashes is started beside suspects of other jobs.

--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -50,7 +50,9 @@
     /** Number of runs on the server, and of those that are suspected of crashing servers. */
     std::size_t runs{0};
     std::size_t suspects{0};
-    /** One of them is suspected of several crashes: nothing else is started beside it. */
+    /** Jobs of these suspects. */
+    std::vector<jobs::job_id> suspect_jobs;
+    /** One of them is suspected of several crashes: no other job is started beside it. */
     bool isolates_suspect{false};
     /** The server is reserved for suspects. */
     bool reserved{false};
@@ -71,6 +73,11 @@
     bool may_use_draining{false};
     /** How strongly the task is suspected of crashing servers. */
     suspicion suspected{suspicion::none};
+    /** Job of the task; its suspects may share a server. */
+    std::optional<jobs::job_id> job;
+    /** Number of jobs whose suspects may share a server with this one. 0 selects the smallest
+     * groups: suspects_per_server after one crash, 1 after several. */
+    std::size_t max_suspect_jobs{0};
     /** The task has waited so long that the reservation of servers does not apply to it. */
     bool may_share_server{false};
 };
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -300,7 +300,7 @@
         c.runs = view.runs.size();
         if (const auto held = round.suspects.find(id); held != round.suspects.end()) {
             c.suspects = held->second.runs;
-            c.isolates_suspect = held->second.any_of_several_crashes;
+            c.suspect_jobs = held->second.jobs;
         }
         round.servers[view.report.pool].push_back(std::move(c));
     }
@@ -473,6 +473,9 @@
     std::vector<std::pair<server_id, std::uint32_t>> tasks_by_server;
     scheduler::placement_hints hints;
     hints.step_on_server = &tasks_by_server;
+    hints.job = id;
+    const pool_id& pool = context_.state().current_terms(j).pool;
+    std::array<bool, 2> unplaced_suspects{};
     const auto count_placement = [&](const server_id& server) {
         const auto known =
             std::ranges::find(tasks_by_server, server, [](const auto& p) { return p.first; });
@@ -507,20 +510,24 @@
         hints.avoid = failed == last_failed_server_.end() ? server_id{} : failed->second;
         hints.may_use_draining = waiting_tasks_.waiting_time(task, round.now) >= max_wait_for_drain;
         const jobs::crash_record* record = find_crash_record(task);
-        hints.suspected = scheduler::suspicion_of(record == nullptr ? 0 : record->losses().size(),
-                                                  spec.long_running);
+        hints.suspected = scheduler::suspicion::none;
+        if (record != nullptr) {
+            set_suspicion(round, pool, *record, spec, hints);
+        }
         const bool is_suspect = hints.suspected != scheduler::suspicion::none;
-        if (is_suspect && !spec.gang && !may_try_suspect(round, *record)) {
+        bool& unplaced = unplaced_suspects[is_suspect && record->losses().size() > 1 ? 1 : 0];
+        if (is_suspect && !spec.gang && (unplaced || !may_try_suspect(round, *record))) {
             round.suspect_waits = true;
             continue;
         }
-        hints.may_share_server = may_share_server(task, spec, is_suspect, round.now);
+        hints.may_share_server = may_share_server(task, spec, record, is_suspect, round.now);
         const bool allowed = within_account_cap(round, j.account, spec.need) &&
                              (record == nullptr || record->may_start());
         const auto chosen = allowed ? scheduler::choose(servers, spec, hints) : std::nullopt;
         if (!chosen) {
             if (is_suspect) {
                 record_unplaced_suspect(round, *record);
+                unplaced = true;
                 if (!spec.gang) {
                     continue;
                 }
@@ -538,10 +545,8 @@
         c.free -= spec.required_capacity();
         waiting_tasks_.record_start(task);
         waiting_suspects_.record_start(task);
+        record_suspect_start(c, hints);
         ++c.runs;
-        c.suspects += is_suspect ? 1 : 0;
-        c.isolates_suspect =
-            c.isolates_suspect || hints.suspected == scheduler::suspicion::several_crashes;
         c.long_running_tasks += spec.long_running ? 1 : 0;
         c.has_trial_task = true;
         c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -79,16 +79,29 @@
                                const jobs::step_spec& spec, const std::vector<jobs::task>& tasks);
     /** @return the task's record, or nullptr if no run of it was lost. */
     const jobs::crash_record* find_crash_record(const jobs::task_id& task) const;
+    /** Collects the crashes whose cause is known. */
+    void gather_explained_crashes(scheduling_round& round) const;
+    /** @return how strongly the task is suspected, apart from crashes whose cause is known. */
+    static scheduler::suspicion suspicion_of(const scheduling_round& round,
+                                             const jobs::crash_record& record,
+                                             const jobs::step_spec& spec);
     /** Collects the tasks that are suspected of crashing servers. */
     void gather_suspects(scheduling_round& round);
     /** Reserves servers for the suspects that wait. */
     void reserve_servers(scheduling_round& round);
+    /** @return the number of servers that other tasks than suspects need. */
+    std::size_t servers_for_others(const scheduling_round& round, const pool_id& pool) const;
+    static void set_suspicion(const scheduling_round& round, const pool_id& pool,
+                              const jobs::crash_record& record, const jobs::step_spec& spec,
+                              scheduler::placement_hints& hints);
+    static void record_suspect_start(scheduler::server_candidate& c,
+                                     const scheduler::placement_hints& hints);
     /** @return whether to search a server for a suspect in this round. */
     static bool may_try_suspect(const scheduling_round& round, const jobs::crash_record& record);
     static void record_unplaced_suspect(scheduling_round& round, const jobs::crash_record& record);
     /** @return whether the task has waited so long that reservations do not apply to it. */
-    bool may_share_server(const jobs::task_id& task, const jobs::step_spec& spec, bool suspected,
-                          mono_time now) const;
+    bool may_share_server(const jobs::task_id& task, const jobs::step_spec& spec,
+                          const jobs::crash_record* record, bool suspected, mono_time now) const;
     bool within_account_cap(const scheduling_round& round, const team_id& account,
                             const jobs::resources& need) const;
     void record_run_ends(const jobs::end_runs& cmd);
--- a/src/fleet/scheduling_round.h
+++ b/src/fleet/scheduling_round.h
@@ -3,6 +3,8 @@
 #include "dispatcher.h"
 
 #include <array>
+#include <set>
+#include <utility>
 
 namespace fescue::fleet {
 
@@ -21,12 +23,20 @@
     /** Suspected tasks on a server that have not been running for long. */
     struct server_suspects {
         std::size_t runs{0};
+        std::vector<jobs::job_id> jobs;
         bool any_of_several_crashes{false};
+        /** One of them may be convicted by one more crash. */
+        bool any_to_isolate{false};
     };
     std::map<server_id, server_suspects> suspects;
-    /** Suspected tasks of each pool that wait for a server. */
+    /** Jobs of each pool with suspects that wait for a server. */
     std::map<pool_id, scheduler::waiting_suspects> waiting_suspects;
-    /** Consecutive suspects of one crash, and of several, without a fitting server. */
+    std::map<pool_id, scheduler::suspect_group_sizes> group_sizes;
+    /** CPU demand of the suspected tasks that wait. */
+    std::map<pool_id, std::int64_t> suspect_cpu;
+    /** Crashes whose cause is known: a task that has been given up ran there. */
+    std::set<std::pair<server_id, incarnation>> explained_crashes;
+    /** Steps with suspects of one crash, and of several, without a fitting server. */
     std::array<std::size_t, 2> unplaced_suspects{};
     /** The last job has a suspect without a fitting server. */
     bool suspect_waits{false};
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -31,17 +31,40 @@
     return remote_from_data || remote_from_step;
 }
 
+/** @return whether all suspects on the server are tasks of the same job. */
+bool holds_suspects_of_job(const server_candidate& c, const placement_hints& hints)
+{
+    return hints.job && c.suspect_jobs.size() == 1 && c.suspect_jobs.front() == *hints.job;
+}
+
+bool group_has_room(const server_candidate& c, const placement_hints& hints)
+{
+    const std::size_t smallest =
+        hints.suspected == suspicion::one_crash ? suspects_per_server : std::size_t{1};
+    const std::size_t limit = std::max(smallest, hints.max_suspect_jobs);
+    const bool in_group =
+        hints.job && std::ranges::find(c.suspect_jobs, *hints.job) != c.suspect_jobs.end();
+    return c.suspects == c.runs &&
+           (in_group || (c.suspect_jobs.empty() ? c.runs : c.suspect_jobs.size()) < limit);
+}
+
 bool accepts_suspicion(const server_candidate& c, const placement_hints& hints)
 {
     if (hints.suspected == suspicion::none) {
         return !c.reserved || hints.may_share_server;
     }
-    if (hints.may_share_server && !c.isolates_suspect) {
+    const bool of_same_job = holds_suspects_of_job(c, hints);
+    if (of_same_job && c.suspects == c.runs) {
+        return true;
+    }
+    if (hints.may_share_server && !c.isolates_suspect &&
+        (hints.suspected == suspicion::one_crash || c.suspects == 0)) {
+        return true;
+    }
+    if (hints.may_share_server && of_same_job) {
         return true;
     }
-    const bool group_has_room = hints.suspected == suspicion::one_crash && c.suspects == c.runs &&
-                                c.runs < suspects_per_server;
-    return c.reserved && !c.isolates_suspect && (c.runs == 0 || group_has_room);
+    return c.reserved && !c.isolates_suspect && (c.runs == 0 || group_has_room(c, hints));
 }
 
 /** Sort key of a placement; lower is better. */
@@ -55,18 +78,18 @@
     const std::int64_t packing_rank =
         step.long_running ? -colocated : -std::min<std::int64_t>(colocated, 1);
     const std::int64_t cpu_left = c.free.cpu_milli - step.need.cpu_milli;
-    return std::tuple{c.draining,
-                      hints.suspected == suspicion::none ? 0 : c.runs,
-                      is_remote(c, step, hints),
-                      c.server->id == hints.avoid,
-                      c.consecutive_failures,
-                      disturbs_serving,
-                      disturbed_by_batch,
-                      step.long_running && c.maintenance_due,
-                      static_cast<std::int64_t>(step_tasks_on(hints, c.server->id)) *
-                          (step.long_running ? 1 : 0),
-                      packing_rank,
-                      cpu_left};
+    return std::tuple{
+        c.draining,
+        hints.suspected == suspicion::none || holds_suspects_of_job(c, hints) ? 0 : c.runs,
+        is_remote(c, step, hints),
+        c.server->id == hints.avoid,
+        c.consecutive_failures,
+        disturbs_serving,
+        disturbed_by_batch,
+        step.long_running && c.maintenance_due,
+        static_cast<std::int64_t>(step_tasks_on(hints, c.server->id)) * (step.long_running ? 1 : 0),
+        packing_rank,
+        cpu_left};
 }
 
 } // namespace
--- a/src/scheduler/suspect_isolation.cpp
+++ b/src/scheduler/suspect_isolation.cpp
@@ -24,7 +24,9 @@
 
 std::size_t reserve_servers(std::span<server_candidate> servers, const waiting_suspects& waiting)
 {
-    const std::size_t limit = std::max<std::size_t>(1, servers.size() / reserved_servers_divisor);
+    const std::size_t limit =
+        std::max({std::size_t{1}, servers.size() / reserved_servers_divisor,
+                  servers.size() - std::min(servers.size(), waiting.servers_for_others)});
     const std::size_t needed =
         waiting.of_several_crashes +
         (waiting.of_one_crash + suspects_per_server - 1) / suspects_per_server;
@@ -52,4 +54,20 @@
                : std::min(needed - count, wanted_in_all - reserved - count);
 }
 
+suspect_group_sizes group_sizes(std::span<const server_candidate> servers,
+                                const waiting_suspects& waiting)
+{
+    const auto reserved = static_cast<std::size_t>(
+        std::ranges::count_if(servers, [](const server_candidate& c) { return c.reserved; }));
+    suspect_group_sizes sizes;
+    if (reserved > 0) {
+        const auto size_for = [&](std::size_t jobs) { return (jobs + reserved - 1) / reserved; };
+        const std::size_t sharing =
+            waiting.of_several_crashes - std::min(waiting.of_several_crashes, waiting.to_isolate);
+        sizes.of_one_crash = std::max(sizes.of_one_crash, size_for(waiting.of_one_crash));
+        sizes.of_several_crashes = std::max(sizes.of_several_crashes, size_for(sharing));
+    }
+    return sizes;
+}
+
 } // namespace fescue::scheduler
