Run driver: servers lost together are no evidence against one task alone on one of them

When several servers crashed at the same moment more than once, jobs without any deadly task were shown as failed (job_given_up with crashes=3 crashes_alone=2), and the stops of their other tasks violated AVAIL.

Cause: a crash under a task that was alone on its server counted as evidence, whatever happened to other servers.

Change: the leader compares the time of the last answered poll with those of the other servers. If one that ran nothing of the task's job, but a task that had lost no run elsewhere, stopped answering within 1 s, the end is committed as lost_with_others or server_crashed_with_others, and the crash does not count as one under a task that was alone. It still counts as one of the four crashes after which a task is given up, so that the number of starts stays bounded. Servers that ran only suspects are no such evidence: tasks that crash their servers may do so together.

--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -124,7 +124,7 @@
     {
         std::uint8_t raw = 0;
         archive(run, raw, checkpoint);
-        outcome = raw <= static_cast<std::uint8_t>(run_outcome::server_crashed)
+        outcome = raw <= static_cast<std::uint8_t>(last_value(run_outcome{}))
                       ? static_cast<run_outcome>(raw)
                       : run_outcome::lost;
     }
--- a/include/fescuestream/jobs/crash_record.h
+++ b/include/fescuestream/jobs/crash_record.h
@@ -7,8 +7,9 @@
  * Load pattern: a task crashes each server that starts it, together with the runs of other jobs on
  * that server. After one crash all of them are suspects. A suspect is therefore started alone where
  * possible. A crash under a task that ran alone tells it from the others, two of them are taken as
- * proof. A task that never runs alone is given up after more crashes, so that the number of crashes
- * is bounded in any case.
+ * proof. The crash of several servers at once, as in the failure of a rack, does not count as such.
+ * A task that never runs alone is given up after more crashes, so that the number of crashes is
+ * bounded in any case.
  */
 
 #include "fescuestream/jobs/model.h"
@@ -31,7 +32,8 @@
     std::uint32_t attempt{0};
     server_id server;
     incarnation incarnation_id{0};
-    /** The server had no run of another job at that time. */
+    /** The server had no run of another job at that time, and no servers that ran only other jobs
+     * were lost together with it. */
     bool alone{false};
     /** The server is known to have crashed; otherwise it has not reported since. */
     bool crashed{false};
--- a/include/fescuestream/jobs/model.h
+++ b/include/fescuestream/jobs/model.h
@@ -203,10 +203,35 @@
     /** The server's incarnation ended without notice, so the task may have crashed it. Sent for a
      * run that has already ended as lost, it corrects that outcome; so does lost_unsuspected. */
     server_crashed,
+    /** As lost and server_crashed, but servers that ran only other jobs were lost at the same time,
+     * so that the task is unlikely to be the cause. Earlier versions read both as lost. */
+    lost_with_others,
+    server_crashed_with_others,
 };
 constexpr run_outcome last_value(run_outcome /*type*/) noexcept
 {
-    return run_outcome::server_crashed;
+    return run_outcome::server_crashed_with_others;
+}
+
+/** @return whether the run ended with a server that certainly crashed. */
+constexpr bool has_crashed(run_outcome reason) noexcept
+{
+    return reason == run_outcome::server_crashed ||
+           reason == run_outcome::server_crashed_with_others;
+}
+
+/** @return whether the run ended with a server that crashed or may have. */
+constexpr bool may_have_crashed(run_outcome reason) noexcept
+{
+    return has_crashed(reason) || reason == run_outcome::lost ||
+           reason == run_outcome::lost_with_others;
+}
+
+/** @return whether servers that ran only other jobs were lost at the same time. */
+constexpr bool was_lost_with_others(run_outcome reason) noexcept
+{
+    return reason == run_outcome::lost_with_others ||
+           reason == run_outcome::server_crashed_with_others;
 }
 
 std::string_view name_of(run_outcome reason) noexcept;
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -125,6 +125,12 @@
      * certainly ended; if not, it is unreachable. */
     jobs::run_outcome outcome_of_lost_run(const server_view& view, const run_view& run,
                                           bool has_crashed) const;
+    /** @return whether a task on the server had lost no run elsewhere, and none belonged
+     * to the job @p except. */
+    bool ran_only_sound_jobs(const server_view& view, const jobs::job_id& except) const;
+    /** @return whether servers that ran only other jobs stopped answering at the same time as this
+     * one, which runs a single job. */
+    bool was_lost_with_others(const server_view& view) const;
     /** @return whether the task's run was started in an earlier incarnation of the server. */
     bool is_of_earlier_incarnation(const server_view& view, const jobs::task_id& task) const;
     /** @return what became known about a lost run since, if anything. */
--- a/src/fleet/run_losses.cpp
+++ b/src/fleet/run_losses.cpp
@@ -21,6 +21,53 @@
     });
 }
 
+bool run_driver::ran_only_sound_jobs(const server_view& view, const jobs::job_id& except) const
+{
+    const auto& records = context_.state().crash_records;
+    const auto is_this_loss = [&](const jobs::run_loss& loss) {
+        return loss.server == view.report.id && loss.incarnation_id == view.report.incarnation_id;
+    };
+    bool has_sound_run = false;
+    for (const auto& [task, run] : view.runs) {
+        const auto record = records.find(task);
+        has_sound_run = has_sound_run || record == records.end() ||
+                        std::ranges::all_of(record->second.losses(), is_this_loss);
+        if (task.job == except) {
+            return false;
+        }
+    }
+    // Runs that have ended as lost are known from their records.
+    for (const auto& [task, record] : records) {
+        if (std::ranges::any_of(record.losses(), is_this_loss)) {
+            if (task.job == except) {
+                return false;
+            }
+            has_sound_run = has_sound_run || record.losses().size() == 1;
+        }
+    }
+    return has_sound_run;
+}
+
+bool run_driver::was_lost_with_others(const server_view& view) const
+{
+    const auto runs_one_job = [&] {
+        return std::ranges::all_of(view.runs, [&](const auto& entry) {
+            return entry.first.job == view.runs.begin()->first.job;
+        });
+    };
+    if (view.runs.empty() || view.last_poll_sent == mono_time{} || !runs_one_job()) {
+        return false;
+    }
+    const jobs::job_id& job = view.runs.begin()->first.job;
+    return std::ranges::any_of(servers_, [&](const auto& entry) {
+        const server_view& other = entry.second;
+        const auto apart = std::chrono::abs(other.last_poll_sent - view.last_poll_sent);
+        return &other != &view && other.last_poll_sent != mono_time{} &&
+               apart <= max_loss_interval && (other.unresponsive() || is_replaced(other)) &&
+               ran_only_sound_jobs(other, job);
+    });
+}
+
 run_outcome run_driver::outcome_of_lost_run(const server_view& view, const run_view& run,
                                             bool has_crashed) const
 {
@@ -30,6 +77,10 @@
     if (announced || was_at_work) {
         return run_outcome::lost_unsuspected;
     }
+    if (was_lost_with_others(view)) {
+        return has_crashed ? run_outcome::server_crashed_with_others
+                           : run_outcome::lost_with_others;
+    }
     return has_crashed ? run_outcome::server_crashed : run_outcome::lost;
 }
 
@@ -109,7 +160,7 @@
     const jobs::state& state = context_.state();
     for (const jobs::end_run& e : cmd.ends) {
         const auto found = state.crash_records.find(e.run.task);
-        if (e.outcome != run_outcome::server_crashed || found == state.crash_records.end()) {
+        if (!jobs::has_crashed(e.outcome) || found == state.crash_records.end()) {
             continue;
         }
         const jobs::crash_record& record = found->second;
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -55,6 +55,9 @@
 /** Time in which a crashed server is expected to report again; the platform restarts it within some
  * seconds. A lost run whose server stays away longer does not count as a crash. */
 inline constexpr milliseconds max_restart_time{20'000};
+/** Servers whose last answered polls were sent within this time of each other may have been lost
+ * together: a server with runs is polled at least this often. */
+inline constexpr milliseconds max_loss_interval{1000};
 /** Interval between two checks of the lost runs. */
 inline constexpr milliseconds loss_check_interval{200};
 /** A server without runs is removed after this time without a report. */
--- a/src/jobs/model.cpp
+++ b/src/jobs/model.cpp
@@ -104,11 +104,18 @@
 
 std::string_view name_of(run_outcome reason) noexcept
 {
-    constexpr std::array<std::string_view, 10> names{
-        "done",          "failed",      "stopped",
-        "lapsed",        "gang_broken", "gang_incomplete",
-        "not_begun",     "lost",        "lost_unsuspected",
-        "server_crashed"};
+    constexpr std::array<std::string_view, 12> names{"done",
+                                                     "failed",
+                                                     "stopped",
+                                                     "lapsed",
+                                                     "gang_broken",
+                                                     "gang_incomplete",
+                                                     "not_begun",
+                                                     "lost",
+                                                     "lost_unsuspected",
+                                                     "server_crashed",
+                                                     "lost_with_others",
+                                                     "server_crashed_with_others"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -161,8 +161,7 @@
         }
         return changed;
     }
-    const bool changed =
-        cmd.outcome == run_outcome::server_crashed && found->second.confirm(cmd.run.attempt);
+    const bool changed = has_crashed(cmd.outcome) && found->second.confirm(cmd.run.attempt);
     if (changed) {
         fail_job_of_culprit(s, cmd.run.task, now);
     }
@@ -180,9 +179,10 @@
 void record_loss(state& s, const end_run& cmd, const task& t)
 {
     const task_id& id = cmd.run.task;
-    if (cmd.outcome == run_outcome::server_crashed || cmd.outcome == run_outcome::lost) {
-        const bool alone = is_alone(s, id, t);
-        const bool crashed = cmd.outcome == run_outcome::server_crashed;
+    if (may_have_crashed(cmd.outcome)) {
+        // Of two servers that crash together, each is evidence against a cause on the other.
+        const bool alone = is_alone(s, id, t) && !was_lost_with_others(cmd.outcome);
+        const bool crashed = has_crashed(cmd.outcome);
         s.crash_records[id].add({t.attempt, t.server, t.incarnation_id, alone, crashed});
     } else if (const auto found = s.crash_records.find(id); found != s.crash_records.end()) {
         found->second.dismiss(t.attempt);
@@ -248,7 +248,7 @@
         complete_occurrence_if_done(s, id, owner, now);
     } else if (cmd.outcome == run_outcome::failed) {
         record_failed_run(s, id, owner, *ended, now);
-    } else if (cmd.outcome == run_outcome::server_crashed) {
+    } else if (has_crashed(cmd.outcome)) {
         fail_job_of_culprit(s, id, now);
     }
     release_ended_job(s, id.job, owner);
@@ -345,7 +345,7 @@
     for (const end_run& run : cmd.ends) {
         if (const task* t = find_current_run(s, run.run)) {
             record_loss(s, run, *t);
-            if (run.outcome == run_outcome::server_crashed || run.outcome == run_outcome::lost) {
+            if (may_have_crashed(run.outcome)) {
                 lost_servers.emplace(t->server, t->incarnation_id);
             }
         }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -1,6 +1,7 @@
 #include "fakes/scheduling_leader.h"
 
 #include <algorithm>
+#include <memory>
 
 using namespace fescue;
 using namespace fescue::fakes;
@@ -133,3 +134,47 @@
         CHECK(leader.run_until([&] { return leader.is_running(2); }, 1s));
     }
 }
+
+TEST_CASE("dispatcher: the loss of several servers at once is no evidence against one task")
+{
+    struct scenario {
+        int port;
+        bool both_lost;
+        /** Jobs of the tasks on the two servers. */
+        std::uint64_t first_job;
+        std::uint64_t second_job;
+        bool is_evidence;
+    };
+    const scenario scenarios[]{
+        {11, true, 1, 2, false}, {13, false, 1, 2, true}, {15, true, 1, 1, true}};
+    for (const scenario& s : scenarios) {
+        CAPTURE(s.port);
+        scheduling_leader leader;
+        leader.settings.bounds.max_lease_ms = 300;
+        const auto port = static_cast<std::uint16_t>(base_port + s.port);
+        const auto second_port = static_cast<std::uint16_t>(port + 1);
+        auto first = std::make_unique<fake_worker>(leader.loop, port);
+        auto second = std::make_unique<fake_worker>(leader.loop, second_port);
+        leader.add_server("i-1", port, {5'000, 5'000, 0});
+        leader.add_server("i-2", second_port, {5'000, 5'000, 0});
+        jobs::step_spec step = make_short_step();
+        step.tasks = s.first_job == s.second_job ? 2 : 1;
+        leader.submit(s.first_job, step);
+        if (s.first_job != s.second_job) {
+            leader.submit(s.second_job, step);
+        }
+        const jobs::task_id task{jobs::job_id{s.second_job}, 0, 0, step.tasks - 1};
+        const auto runs = [&] { return first->starts.size() + second->starts.size(); };
+        REQUIRE(leader.run_until([&] { return runs() == 2; }, 2s));
+        leader.run_for(500ms);
+        // The server of the task is lost in any case.
+        const bool on_first = leader.log.state().find(task)->server == server_id{"i-1"};
+        (on_first ? first : second).reset();
+        if (s.both_lost) {
+            (on_first ? second : first).reset();
+        }
+        const auto& records = leader.log.state().crash_records;
+        REQUIRE(leader.run_until([&] { return records.contains(task); }, 5s));
+        CHECK(records.at(task).losses()[0].alone == s.is_evidence);
+    }
+}
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -510,6 +510,25 @@
     CHECK(s.jobs.at(other_job).phase == job_phase::completed);
 }
 
+TEST_CASE("jobs: crashes of several servers at once do not convict a task, but bound its restarts")
+{
+    state s = state_with_job({make_step(1)});
+    const task_id t = make_task_id(0, 0);
+    for (std::uint32_t attempt = 1; attempt <= max_crashes; ++attempt) {
+        CHECK(s.jobs.at(test_job_id).phase != job_phase::failed);
+        begin_task(s, t, attempt, server_id{"s" + std::to_string(attempt)});
+        if (attempt == 2) {
+            end_task(s, t, attempt, run_outcome::lost_with_others);
+            end_task(s, t, attempt, run_outcome::server_crashed);
+        } else {
+            end_task(s, t, attempt, run_outcome::server_crashed_with_others);
+        }
+        CHECK(s.crash_records.at(t).crashes() == attempt);
+        CHECK(s.crash_records.at(t).crashes_alone() == 0);
+    }
+    CHECK(s.jobs.at(test_job_id).phase == job_phase::failed);
+}
+
 TEST_CASE("jobs: crashes of servers are kept in a snapshot")
 {
     state s = state_with_job({make_step(1)});
