Run driver: review of the changes for late starts

- The reply to a stop counts only for the incarnation that it was sent to.
- A report that is made up from a poll does not inherit the announced end of the incarnation before.
- A start is not given up while the leader has no lease or the server has stray runs.
- A notice that is not due makes the server be polled, also if it has no runs.

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -201,6 +201,7 @@
     if (!due) {
         // The notice is one of an earlier incarnation, or the announcement of the end was lost. A
         // poll shows which.
+        found->second.fence_pending = true;
         found->second.next_poll = context_.now();
         return;
     }
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -126,7 +126,8 @@
     void on_start_reply(const server_id& id, const jobs::run_id& run, const order_reply& reply,
                         mono_time sent);
     void send_stop(server_view& view, const jobs::task_id& task, run_view& run);
-    void on_stop_reply(const server_id& id, const jobs::run_id& run, const order_reply& reply);
+    void on_stop_reply(const server_id& id, incarnation incarnation_id, const jobs::run_id& run,
+                       const order_reply& reply);
     void poll_server(server_view& view);
     void on_poll_reply(const server_id& id, const result<poll_reply>& reply,
                        const poll_order& order, mono_time sent);
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -66,22 +66,26 @@
     const jobs::run_id name{task, run.attempt};
     ++outstanding_orders_;
     send_order(view, stop_order{name, term_},
-               [this, id = view.report.id, name, term = term_](server_answer&& answer) {
+               [this, id = view.report.id, incarnation_id = view.report.incarnation_id, name,
+                term = term_](server_answer&& answer) {
                    --outstanding_orders_;
                    if (leading_ && term == term_) {
-                       on_stop_reply(id, name, std::get<order_reply>(answer));
+                       on_stop_reply(id, incarnation_id, name, std::get<order_reply>(answer));
                    }
                });
 }
 
-void run_driver::on_stop_reply(const server_id& id, const jobs::run_id& name,
-                               const order_reply& reply)
+void run_driver::on_stop_reply(const server_id& id, incarnation incarnation_id,
+                               const jobs::run_id& name, const order_reply& reply)
 {
     run_view* run = find_run(id, name);
     if (run == nullptr) {
         return;
     }
     run->stop_in_flight = false;
+    if (servers_.at(id).report.incarnation_id != incarnation_id) {
+        return; // The next incarnation does not know of the stop.
+    }
     if (reply.result == order_result::accepted || reply.result == order_result::outdated) {
         run->stop_acknowledged = true;
         run->visible_from = context_.now();
@@ -234,8 +238,9 @@
 
 void run_driver::resolve_missing_start(server_view& view, const task_id& task, run_view& run)
 {
-    if (!view.may_renew_lease()) {
-        // The server answers again, so its leases will be unfrozen before the next poll.
+    if (!view.may_renew_lease() || view.unknown_runs > 0 || !context_.has_leader_lease()) {
+        // A later poll decides: the leases are about to be unfrozen, or stray runs still take
+        // capacity.
         return;
     }
     if (run.starts_sent >= max_starts) {
@@ -273,11 +278,11 @@
                                      {"server", view.report.id.str()},
                                      {"life", view.report.incarnation_id}});
     send_order(view, stop_order{name, term_},
-               [this, id = view.report.id, life = view.report.incarnation_id, name,
+               [this, id = view.report.id, incarnation_id = view.report.incarnation_id, name,
                 term = term_](server_answer&& answer) {
                    const auto server = servers_.find(id);
                    if (!leading_ || term != term_ || server == servers_.end() ||
-                       server->second.report.incarnation_id != life) {
+                       server->second.report.incarnation_id != incarnation_id) {
                        return;
                    }
                    const auto found = server->second.late_starts.find(name);
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -89,6 +89,8 @@
             report.clock_ms = lists.clock_ms;
             // The new incarnation may be of another kind; nothing starts before its own report.
             report.capacity = {};
+            report.leaving = false;
+            report.remaining_ms = 0;
             on_report(report);
         }
         return;
@@ -205,6 +207,9 @@
         listed.insert(a.run);
     }
     for (auto& [task, run] : view.runs) {
+        if (run.end_proposed) {
+            continue;
+        }
         const jobs::run_id name{task, run.attempt};
         if (run.stage == run_stage::inherited && run.stop_reason.empty() &&
             !listed.contains(name) && !is_of_earlier_incarnation(view, task)) {
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -49,7 +49,7 @@
     /** The server has accepted the start, or lists the run. */
     confirmed,
     /** The start got no answer. Unless a poll lists the run, the start may be executed at any time
-     * until a stop is answered. */
+     * until no copy of it can arrive. */
     in_doubt,
 };
 
