--- a/tests/fakes/scheduling_model.h
+++ b/tests/fakes/scheduling_model.h
@@ -75,7 +75,6 @@
         std::string text;
     };
 
-    // Random choices.
     bool chance(double probability);
     bool happens_within(milliseconds mean_interval);
     milliseconds between(milliseconds shortest, milliseconds longest);
@@ -87,7 +86,6 @@
     void report_violation(std::string kind, const jobs::task_id& task);
     void call_after(milliseconds delay, std::function<void()> callback);
 
-    // Schedulers.
     void on_applied(const jobs::command& cmd);
     void tick();
     void tick_schedulers();
@@ -98,7 +96,6 @@
     void deliver(scheduler& to, std::function<void()> callback);
     void start_waiting_tasks(scheduler& from);
 
-    // Servers.
     void inject_server_faults();
     void boot(machine& at, bool same_id);
     void crash(machine& at);
@@ -110,7 +107,6 @@
     void settle_servers();
     void on_run_started(const fake_server& server, const jobs::run_id& run);
 
-    // Network.
     struct call {
         scheduler* from;
         std::uint64_t number;
