--- a/tests/e2e/fleet.py
+++ b/tests/e2e/fleet.py
@@ -142,6 +142,15 @@
     def stop(self):
         self.running = False
         self.thread.join()
+        for key in list(self.selector.get_map().values()):
+            key.fileobj.close()
+        self.selector.close()
+        with self.lock:
+            for pairs in self.socket_pairs.values():
+                for s in (s for pair in pairs for s in pair if s is not None):
+                    s.close()
+            self.socket_pairs.clear()
+        self.udp_sender.close()
 
 
 class Fleet:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,9 +1,15 @@
 """The checks of the soak on histories with known violations."""
 
 import dataclasses
+import pathlib
+import socket
+import sys
 import unittest
 
+sys.path.append(str(pathlib.Path(__file__).resolve().parent.parent / "e2e"))
+
 import checks
+import fleet
 from callers import Request
 from checks import Fault
 from soak import Run
@@ -87,5 +93,17 @@
         self.assertEqual(self.count([(1.0, 10.0), (19.1, 30.0)], Fault("kill", OTHER, 11.0, 12.5)), 0)
 
 
+class RelayPorts(unittest.TestCase):
+    def test_stopped_relays_release_their_ports(self):
+        # Two tests with relays on the same ports follow each other in one process.
+        for _ in range(2):
+            relays = fleet.Relays()
+            relays.add(("a", "b"), 28990, 28991)
+            relays.thread.start()
+            with socket.create_connection(("127.0.0.1", 28990), timeout=2):
+                pass
+            relays.stop()
+
+
 if __name__ == "__main__":
     unittest.main()
