Machine driver: maintenance is ordered only once the log has recorded it

Cause: the order of a machine's maintenance was sent while its record was still being proposed. If leadership changed in between, the next leader did not know of the order and gave its own at once, and the service got the earlier leader's after it: two holders took turns on one machine. Moves were already sent only after their record. Change: the order is proposed and sent when its record is applied, under the term that it names. Two fixtures of the tests now pass the applied commands to the machine driver, as the scheduler does.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -40,7 +40,12 @@
         return;
     }
     record_order(order->machine, {order->term, order->now});
-    if (driver_.leading() && context_.has_leader_lease() && !order->to.empty()) {
+    if (!driver_.leading() || !context_.has_leader_lease() || order->term != term_) {
+        return;
+    }
+    if (order->to.empty()) {
+        send_maintenance(order->machine);
+    } else {
         send_move(order->machine, order->to);
     }
 }
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -44,6 +44,8 @@
         mono_time sent_at{};
         /** Target pool of a move; empty: the order is for maintenance. */
         pool_id to;
+        /** Wave of the maintenance. */
+        std::string wave;
     };
 
     /** @return whether this instance leads and no earlier leader can still hold the machine
@@ -69,7 +71,10 @@
     /** Stops long-running tasks on cordoned servers as far as their availability limits allow.
      * @param deadline_at_risk stops the other tasks as well. */
     void drain_cordoned_servers(bool deadline_at_risk);
+    /** Proposes the maintenance order to the log; it is sent once the log has recorded it, so that
+     * the next leader knows of it. */
     void order_maintenance(const std::string& wave, const std::string& machine);
+    void send_maintenance(const std::string& machine);
     void on_maintenance_reply(const std::string& wave, const std::string& machine,
                               machine_result r);
     void advance_maintenance(const std::string& wave, const std::string& machine);
--- a/src/fleet/machine_maintenance.cpp
+++ b/src/fleet/machine_maintenance.cpp
@@ -233,9 +233,21 @@
     if (!order_budget_.try_acquire(context_.now())) {
         return;
     }
-    orders_[machine] = {true, false, context_.now(), {}};
-    context_.counters.count("machine_orders");
+    orders_[machine] = {false, false, context_.now(), {}, wave};
     context_.log.propose_here(jobs::order_machine{machine, {}, term_, wall_now()});
+}
+
+void machine_driver::send_maintenance(const std::string& machine)
+{
+    const auto known = orders_.find(machine);
+    if (known == orders_.end() || !known->second.to.empty() || known->second.in_flight ||
+        known->second.accepted) {
+        return;
+    }
+    const std::string wave = known->second.wave;
+    known->second.in_flight = true;
+    known->second.sent_at = context_.now();
+    context_.counters.count("machine_orders");
     log::info("upkeep_order", {{"machine", machine}, {"wave", wave}, {"fence", term_}});
     context_.client.send(
         context_.server_protocol.make_maintenance_request(
--- a/tests/unit/machine_list_test.cpp
+++ b/tests/unit/machine_list_test.cpp
@@ -59,6 +59,8 @@
     std::string list;
     std::vector<std::string> orders;
     int list_reads{0};
+    /** Whether the leader sees the orders that the log has recorded. */
+    bool applies_orders{true};
 
     event_loop loop;
     settings::job_service_settings settings;
@@ -73,7 +75,12 @@
                 replication::any_store{store::memory_store{}},
                 {},
                 {[](const instance_id&, const wire::message&) { return false; },
-                 [](const jobs::command&, const jobs::outcome&) {}, [] {}, [](const error&) {}}};
+                 [this](const jobs::command& cmd, const jobs::outcome&) {
+                     if (applies_orders) {
+                         machines.on_applied(cmd);
+                     }
+                 },
+                 [] {}, [](const error&) {}}};
     core_context shared{loop, settings, wire, client, order_relay, log, counters};
     run_driver driver{shared, [] {}};
     dispatcher work{shared, driver};
@@ -110,3 +117,15 @@
     fleet.list = R"({"machines":[)" + entry("m-1", "4000") + "]}";
     CHECK(fleet.run_until([&] { return fleet.wave_is_done(); }, 5s));
 }
+
+TEST_CASE("machines: maintenance is not ordered before the log has recorded the order")
+{
+    // Sent earlier, it reached the machine service after an order of the next leader, which did not
+    // know of it.
+    listed_machines fleet;
+    fleet.applies_orders = false;
+    fleet.list = R"({"machines":[)" + entry("m-1", "4000") + "]}";
+    REQUIRE(fleet.run_until(
+        [&] { return fleet.log.state().waves.at("1").machines.at("m-1").started; }, 5s));
+    CHECK_FALSE(fleet.run_until([&] { return !fleet.orders.empty(); }, 1s));
+}
--- a/tests/unit/run_driver_test.cpp
+++ b/tests/unit/run_driver_test.cpp
@@ -178,11 +178,16 @@
                  [](const error&) {}}};
     core_context shared{loop, settings, wire, client, orders, log, counters};
     run_driver driver{shared, [] {}};
+    /** Also gets the applied commands, if set. */
+    machine_driver* machines{nullptr};
 
 private:
     void applied(const jobs::command& cmd)
     {
         driver.on_applied(cmd);
+        if (machines != nullptr) {
+            machines->on_applied(cmd);
+        }
         if (const auto* e = std::get_if<jobs::end_runs>(&cmd)) {
             ends.insert(ends.end(), e->ends.begin(), e->ends.end());
         }
@@ -646,6 +651,7 @@
     leader.run_for(100ms);
     dispatcher work{leader.shared, leader.driver};
     machine_driver machines{leader.shared, leader.driver, work};
+    leader.machines = &machines;
     machines.on_leadership_gained();
     const auto tick_timer = leader.loop.every(20ms, [&] { machines.tick(); });
     REQUIRE(leader.run_until([&] { return leader.log.state().waves.at("1").is_done(); }, 5s));
@@ -706,6 +712,7 @@
         leader.run_for(100ms);
         dispatcher work{leader.shared, leader.driver};
         machine_driver machines{leader.shared, leader.driver, work};
+        leader.machines = &machines;
         machines.on_leadership_gained();
         const auto tick_timer = leader.loop.every(20ms, [&] { machines.tick(); });
         CHECK(leader.run_until([&] { return leader.log.state().waves.at("1").is_done(); }, 6s));
