Pool planner: pools that are short at once share the machines; the machine service bounds the moves

Cause: pools were served in the order of their ids, each with at most 16 moves in a round. Change: the pool with the largest shortage relative to its target gets the next machine; work that is on time first, then work that is late. A round's moves are bounded by the service's rate and by the orders without an answer. pool_load logs late_cpu_milli. Reckoned from the old code, not run on it (the interface has changed): the first pool gets 16 machines and the second the rest, and a round has at most 16 moves to a pool at every size.

--- a/include/fescuestream/scheduler/pool_plan.h
+++ b/include/fescuestream/scheduler/pool_plan.h
@@ -11,6 +11,10 @@
  * powered off in the standby pool are used first, and excess machines return to standby once they
  * have been idle for as long as a move costs.
  *
+ * Load pattern: several pools burst at once and need more machines than there are. Work that can
+ * still meet its deadline has precedence over work that can't, and the pool with the largest
+ * relative shortage gets the next machine, so that none starves.
+ *
  * CPU alone does not show whether a pool can run its long-running tasks: a step may limit its tasks
  * per server or require a label. Tasks that no server of their pool can take are therefore part of
  * the demand, and machines that could run them move to the pool even if it has free CPU.
@@ -59,6 +63,8 @@
     std::vector<unplaced_tasks> unplaced;
     /** Servers that are being moved to the pool. */
     std::vector<server_offer> arriving;
+    /** Part of demand_cpu that belongs to jobs which can't meet their deadlines any more. */
+    std::int64_t late_cpu{0};
 };
 
 /** A machine that may be moved. */
@@ -90,27 +96,32 @@
     /** Fraction of its own machines that a pool keeps even if idle; they absorb the start of a
      * burst while further machines are being moved. */
     double min_machines_fraction{0.5};
-    /** Maximum number of machines moved to one pool per round. */
-    std::size_t max_moves_per_pool{16};
 };
 
 class pool_planner {
 public:
     explicit pool_planner(pool_policy policy = {}) : policy_{policy} {}
 
-    /** @param machines machines that are up, not in maintenance and not being moved. */
+    /**
+     * @param machines machines that are up, not in maintenance and not being moved.
+     * @param max_moves number of moves that the machine service accepts at present.
+     */
     std::vector<pool_move> plan(const std::vector<pool_need>& pools,
-                                const std::vector<movable_machine>& machines, mono_time now);
+                                const std::vector<movable_machine>& machines, std::size_t max_moves,
+                                mono_time now);
 
 private:
     struct idle_record {
         pool_id pool;
         mono_time since{};
     };
-    void cover_shortages(const std::vector<pool_need>& pools,
-                         std::vector<movable_machine>& idle_machines, std::vector<pool_move>& out);
+    /** Records since when machines have been idle. @return the idle machines, those that are
+     * powered off first, then the longest idle. */
+    std::vector<movable_machine> rank_idle_machines(const std::vector<pool_need>& pools,
+                                                    const std::vector<movable_machine>& machines,
+                                                    mono_time now);
     void return_idle_to_standby(const std::vector<pool_need>& pools,
-                                std::vector<movable_machine>& idle_machines,
+                                const std::vector<movable_machine>& idle_machines,
                                 std::vector<pool_move>& out, mono_time now);
 
     pool_policy policy_;
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -239,6 +239,7 @@
                        {"cpu_milli", load.capacity_cpu},
                        {"free_cpu_milli", load.free_cpu},
                        {"wanted_cpu_milli", load.startable_cpu},
+                       {"late_cpu_milli", load.late_cpu},
                        {"arriving_cpu_milli", load.arrival_cpu},
                        {"lasting_cpu_milli", load.long_running_cpu},
                        {"backlog_core_ms", static_cast<std::int64_t>(load.backlog_core_ms)}});
@@ -321,6 +322,7 @@
         const pool_id& pool = state.current_terms(j).pool;
         pool_load& load = loads_[pool];
         bool waits = false;
+        std::int64_t job_cpu = 0;
         for (const auto& [number, o] : j.occurrences) {
             for (std::size_t i = 0; i < o.steps.size(); ++i) {
                 const auto& st = o.steps[i];
@@ -337,12 +339,17 @@
                         record_waiting_tasks(id, number, static_cast<std::uint32_t>(i), st.tasks);
                     }
                     load.startable_cpu += waiting * j.spec.steps[i].required_capacity().cpu_milli;
+                    job_cpu += waiting * j.spec.steps[i].required_capacity().cpu_milli;
                 }
+                job_cpu += static_cast<std::int64_t>(st.running) *
+                           j.spec.steps[i].required_capacity().cpu_milli;
             }
         }
         if (waits) {
             const queued_job s = make_queued_job(id, j);
             load.backlog_core_ms += s.long_running ? 0 : s.remaining_core_ms;
+            const scheduler::urgency urgency = scheduler::urgency_of(s);
+            load.late_cpu += urgency >= scheduler::urgency::late ? job_cpu : 0;
             round.waiting[pool].push_back(s);
         }
     }
@@ -383,7 +390,8 @@
     const double chain = scheduler::compute_critical_path_ms(j.spec.steps, whole);
     s.critical_path_ms = scheduler::compute_critical_path_ms(j.spec.steps, left);
     const auto age = static_cast<double>(wall_now() - j.accepted_at);
-    s.time_to_deadline_ms = terms.slack_factor * chain + static_cast<double>(terms.slack_ms) - age;
+    const double time_limit = terms.slack_factor * chain + static_cast<double>(terms.slack_ms);
+    s.time_to_deadline_ms = time_limit - age;
     return s;
 }
 
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -35,6 +35,9 @@
     std::int64_t long_running_cpu{0};
     /** CPU that the tasks which may start now would take. */
     std::int64_t startable_cpu{0};
+    /** CPU that the startable and the running tasks take of waiting jobs that can't meet their
+     * deadlines any more. */
+    std::int64_t late_cpu{0};
     std::size_t servers{0};
     /** Long-running tasks for which no server of the pool was found. */
     std::vector<scheduler::unplaced_tasks> unplaced;
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -5,6 +5,7 @@
 #include "fescuestream/base/log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescue::fleet {
 
@@ -22,6 +23,9 @@
 constexpr milliseconds max_clock_skew{2000};
 /** Safety margin added to the machine service's lease for the last holder. */
 constexpr milliseconds holder_lease_margin{500};
+/** Unanswered moves are bounded to what the machine service accepts in this time: they queue for a
+ * few connections, and one that waits for a second is given up. */
+constexpr double max_unanswered_moves_s = 0.2;
 
 } // namespace
 
@@ -247,6 +251,7 @@
             need.demand_cpu = l.capacity_cpu - l.free_cpu + l.startable_cpu;
             need.arrival_cpu = l.arrival_cpu + l.long_running_cpu;
             need.unplaced = l.unplaced;
+            need.late_cpu = l.late_cpu;
         }
         out.push_back(need);
     }
@@ -315,7 +320,8 @@
         }
         at = arrived || unknown ? orders_.erase(at) : std::next(at);
     }
-    for (const scheduler::pool_move& move : planner_.plan(pool_needs(), movable_machines(), now)) {
+    const auto moves = planner_.plan(pool_needs(), movable_machines(), available_moves(), now);
+    for (const scheduler::pool_move& move : moves) {
         if (!order_budget_.try_acquire(now)) {
             context_.counters.count("machine_orders_put_off");
             break;
@@ -324,6 +330,17 @@
     }
 }
 
+std::size_t machine_driver::available_moves()
+{
+    const auto unanswered =
+        static_cast<std::size_t>(std::ranges::count_if(orders_, [](const auto& entry) {
+            return !entry.second.accepted && !entry.second.to.empty();
+        }));
+    const auto limit = static_cast<std::size_t>(
+        std::ceil(context_.settings.machines.orders_per_s * max_unanswered_moves_s));
+    return std::min(order_budget_.available(context_.now()), limit - std::min(limit, unanswered));
+}
+
 void machine_driver::propose_move(const scheduler::pool_move& move)
 {
     const machine_entry& entry = machines_.at(move.machine);
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -80,6 +80,8 @@
     void advance_maintenance(const std::string& wave, const std::string& machine);
     void balance_pools();
     void propose_move(const scheduler::pool_move& move);
+    /** @return how many moves may be ordered now. */
+    std::size_t available_moves();
     std::vector<scheduler::pool_need> pool_needs() const;
     std::vector<scheduler::movable_machine> movable_machines() const;
 
--- a/src/fleet/token_bucket.h
+++ b/src/fleet/token_bucket.h
@@ -8,6 +8,7 @@
 #include "fescuestream/base/ids.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace fescue::fleet {
 
@@ -21,12 +22,17 @@
     {
     }
 
+    /** @return the number of calls that may be made now. */
+    std::size_t available(mono_time now) noexcept
+    {
+        refill(now);
+        return static_cast<std::size_t>(tokens_);
+    }
+
     /** Takes a token. @return whether one was available, so that a call may be made now. */
     bool try_acquire(mono_time now) noexcept
     {
-        const std::chrono::duration<double> elapsed = now - last_refill_;
-        tokens_ = std::min(capacity(), tokens_ + std::max(0.0, elapsed.count()) * rate_per_s_);
-        last_refill_ = now;
+        refill(now);
         if (tokens_ < 1) {
             return false;
         }
@@ -35,6 +41,12 @@
     }
 
 private:
+    void refill(mono_time now) noexcept
+    {
+        const std::chrono::duration<double> elapsed = now - last_refill_;
+        tokens_ = std::min(capacity(), tokens_ + std::max(0.0, elapsed.count()) * rate_per_s_);
+        last_refill_ = now;
+    }
     double capacity() const noexcept { return std::max(1.0, rate_per_s_); }
 
     double rate_per_s_;
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -335,6 +335,8 @@
 private:
     static constexpr std::int64_t machine_cpu = 64'000;
     static constexpr milliseconds step{100};
+    /** What the machine service accepts in a step. */
+    static constexpr std::size_t max_moves{16};
     static constexpr milliseconds move_time{1500};
     struct pool {
         bool standby{false};
@@ -382,7 +384,7 @@
             }
             needs.push_back(n);
         }
-        for (const pool_move& m : planner_.plan(needs, movable, now_)) {
+        for (const pool_move& m : planner_.plan(needs, movable, max_moves, now_)) {
             machines_.at(m.machine) = {m.to, now_ + move_time};
             ++moves_;
         }
@@ -439,7 +441,7 @@
         {"calm-1", pool_id{"calm"}, {{64'000, 0, 0}, {}}, true},
         {"calm-2", pool_id{"calm"}, {{64'000, 0, 0}, {}}, false},
         {"off-1", pool_id{"off"}, {{64'000, 0, 0}, {}}, true}};
-    const auto moves = planner.plan(pools, machines, now);
+    const auto moves = planner.plan(pools, machines, 16, now);
     REQUIRE(moves.size() == 2);
     CHECK(moves[0].machine == "off-1");
     CHECK(moves[1].machine == "calm-1");
--- a/tests/unit/server_demand_test.cpp
+++ b/tests/unit/server_demand_test.cpp
@@ -94,7 +94,7 @@
     }
     const auto count_moves = [&] {
         scheduler::pool_planner planner;
-        return planner.plan({with_free_cpu, calm}, machines, mono_time{1h}).size();
+        return planner.plan({with_free_cpu, calm}, machines, 16, mono_time{1h}).size();
     };
     CHECK(count_moves() == 3);
     with_free_cpu.arriving = {offer, offer};
