Job order: jobs whose results are of no use any more wait behind those that are late

Cause: late jobs were ordered by their remaining work alone, so that short jobs whose callers have given up took capacity from longer ones that were only late. Change: a class of urgency for expired jobs, behind the late ones. Accepted jobs are still carried out. Test: "order: jobs whose results are of no use any more ..."; reckoned, not run: without the class the expired job, which is shorter, is the first.

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -392,6 +392,9 @@
     const auto age = static_cast<double>(wall_now() - j.accepted_at);
     const double time_limit = terms.slack_factor * chain + static_cast<double>(terms.slack_ms);
     s.time_to_deadline_ms = time_limit - age;
+    if (j.spec.schedule.times == 0) {
+        s.time_to_expiry_ms = scheduler::max_lateness_factor * time_limit - age;
+    }
     return s;
 }
 
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -1,3 +1,4 @@
+#include "fescuestream/scheduler/job_order.h"
 #include "fescuestream/scheduler/poll_pacing.h"
 #include "fescuestream/scheduler/pool_plan.h"
 
@@ -108,3 +109,26 @@
         CHECK(planner.plan(pools, machines, servers, mono_time{1h}).size() == idle);
     }
 }
+
+TEST_CASE("order: jobs whose results are of no use any more wait behind those that are late")
+{
+    // On the small twin of a large fleet, short expired jobs kept longer ones from being completed
+    // while their callers still waited for them.
+    queued_job expired;
+    expired.job = jobs::job_id{1};
+    expired.started = true;
+    expired.time_to_deadline_ms = -5000;
+    expired.time_to_expiry_ms = 400;
+    expired.critical_path_ms = 500;
+    expired.remaining_core_ms = 10;
+    queued_job late = expired;
+    late.job = jobs::job_id{2};
+    late.started = false;
+    late.time_to_expiry_ms = 600;
+    late.remaining_core_ms = 10'000;
+    CHECK(urgency_of(expired) == urgency::expired);
+    CHECK(urgency_of(late) == urgency::late);
+    std::vector<queued_job> jobs{expired, late};
+    sort_by_urgency(jobs);
+    CHECK(jobs.front().job == late.job);
+}
