--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -443,6 +443,8 @@
                                {"listed_in", run->listed_in},
                                {"stage", name_of(run->stage)},
                                {"term", term_},
+                               {"lease_end_ms", view->lease_end_ms},
+                               {"clock_ms", view->clock.lower_bound(context_.now()).value_or(0)},
                                {"how", jobs::name_of(outcome)},
                                {"why", reason}});
     }
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -167,6 +167,7 @@
                                        {"server", view.report.id.str()},
                                        {"life", view.report.incarnation_id},
                                        {"term", term_},
+                                       {"clock_ms", reply.clock_ms},
                                        {"logged_attempt", known == nullptr ? 0 : known->attempt}});
             context_.counters.count("stray_runs");
             ++view.unknown_runs;
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -213,6 +213,8 @@
         if (leads && (!runs->leading() || leading_term != replica.term())) {
             leading_term = replica.term();
             log::info("leading", {{"term", leading_term},
+                                  {"cluster", replica.voters().cluster},
+                                  {"voters", replica.voters().voters.size()},
                                   {"jobs", log->state().active_jobs.size()},
                                   {"servers_with_runs", log->state().runs.size()},
                                   {"frozen_leases", log->state().frozen_leases.size()}});
