--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -204,8 +204,13 @@
     view.refused_until = now + refusal_backoff;
     view.capacity_outdated = view.capacity_outdated || reply.result == order_result::no_room;
     if (reply.result == order_result::unknown) {
-        // The run may have started, which a later poll shows.
         ++view.misses;
+        if (run->listed_in == view.report.incarnation_id && run->starts_sent == 1) {
+            // A poll has listed the run, so the only copy has been executed.
+            view.next_poll = now;
+            return;
+        }
+        // The run may have started, which a later poll shows.
         run->record_unanswered_start(order.fencing_token, sent + max_order_delay);
         run->stage = run_stage::in_doubt;
         run->in_doubt_since = now;
@@ -268,7 +273,7 @@
         // capacity.
         return;
     }
-    if (run.starts_sent < max_starts && may_send_start(view, task)) {
+    if (run.stop_reason.empty() && run.starts_sent < max_starts && may_send_start(view, task)) {
         // The server refuses the earlier copies.
         send_start(view, task, run);
     } else {
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -243,8 +243,7 @@
             run.record_unanswered_start(0, leading_since_ + max_order_delay);
         }
         const bool unconfirmed = run.stage == run_stage::in_doubt && !listed.contains(name);
-        if (unconfirmed && run.stop_reason.empty() && !run.stop_acknowledged &&
-            run.in_doubt_since <= sent) {
+        if (unconfirmed && !run.stop_acknowledged && run.in_doubt_since <= sent) {
             resolve_missing_start(view, task, run);
         }
         const bool must_be_listed =
--- a/tests/unit/server_restart_test.cpp
+++ b/tests/unit/server_restart_test.cpp
@@ -280,3 +280,14 @@
     CHECK(fleet.max_active_runs(1500ms) == 1);
     CHECK(fleet.second.active_attempt(task) == 0);
 }
+
+TEST_CASE("driver: a poll that lists a run shows that its only start is not on its way any more")
+{
+    restarting_fleet fleet{base_port + 26};
+    fleet.first.start_reply_delay = 1500ms;
+    fleet.leader.submit(job, make_short_step());
+    REQUIRE(fleet.leader.run_until([&] { return fleet.first.active_attempt(task) == 1; }, 1s));
+    fleet.leader.run_for(1300ms);
+    fleet.first.unreachable = true;
+    CHECK(fleet.leader.run_until([&] { return !fleet.leader.is_running(job); }, 6s));
+}
