Run driver: a refused connection after a shutdown notice confirms the end

The open poll of such a server fails at once, libcurl sends it again on a new connection, and that one is refused; the attempt counted as lost, since the first copy had been sent. Later connections get no answer, since the machine is gone.

The client now reports that the last connection was refused, by the system's error code, so that an unreachable network does not count.

--- a/include/fescuestream/http/client.h
+++ b/include/fescuestream/http/client.h
@@ -54,6 +54,8 @@
     std::optional<std::string> request_id;
     /** Value of the Fescue-Ran header, if present. */
     std::optional<std::string> ran;
+    /** The connection for the last copy of the request was refused: nothing listens there. */
+    bool connection_refused{false};
     /** Error description, for humans; empty when answered. */
     std::string error_message;
 };
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -217,7 +217,7 @@
     found->second.has_shut_down = true;
     found->second.last_report_at = context_.now();
     found->second.shut_down_by = context_.now() + shutdown_margin;
-    found->second.next_poll = found->second.shut_down_by;
+    found->second.next_poll = context_.now();
 }
 
 void run_driver::confirm_shutdown(server_view& view)
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -30,9 +30,8 @@
 {
     const bool needs_poll = !view.runs.empty() || view.misses > 0 || view.unknown_runs > 0 ||
                             view.capacity_outdated || view.fence_pending;
-    const bool may_be_up = !view.has_shut_down || (!view.end_confirmed && now >= view.shut_down_by);
-    return needs_poll && !view.poll_in_flight && may_be_up && !view.report.address.empty() &&
-           now >= view.next_poll;
+    return needs_poll && !view.poll_in_flight && !view.end_confirmed &&
+           !view.report.address.empty() && now >= view.next_poll;
 }
 
 void run_driver::poll_server(server_view& view)
@@ -73,10 +72,7 @@
     const mono_time now = context_.now();
     view.poll_in_flight = false;
     if (!ok(reply)) {
-        // A server that is up but unreachable leaves the connection without an answer.
-        const bool refused = error_of(reply).kind == error_kind::no_server &&
-                             now - sent < max_connection_refusal_time;
-        if (refused && view.has_shut_down && sent >= view.shut_down_by) {
+        if (view.has_shut_down && error_of(reply).kind == error_kind::no_server) {
             confirm_shutdown(view);
         }
         ++view.misses;
--- a/src/fleet/run_timing.h
+++ b/src/fleet/run_timing.h
@@ -47,8 +47,6 @@
 /** How much sooner than announced a server's shutdown notice may arrive: the announcement takes
  * time to reach the leader. */
 inline constexpr milliseconds shutdown_notice_tolerance{500};
-/** A connection that fails later than this was not refused: the server is unreachable. */
-inline constexpr milliseconds max_connection_refusal_time{500};
 /** Time allowed from a server's shutdown notice until its process has ended. */
 inline constexpr milliseconds shutdown_margin{300};
 /** A long-running task that has been at full work for this long is not suspected if its server
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <unordered_map>
 #include <utility>
 
@@ -238,6 +239,9 @@
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
         t->response.status = static_cast<int>(http_status);
         t->response.outcome = classify_delivery(*t, code);
+        long os_error = 0;
+        curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
+        t->response.connection_refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
         if (t->response.outcome != delivery::answered) {
             t->response.error_message = code == CURLE_OK
                                             ? "the response does not declare its length"
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -186,7 +186,9 @@
     client c{loop};
     client_request request;
     request.url = "http://127.0.0.1:1/";
-    CHECK(send_and_wait(loop, c, std::move(request)).outcome == delivery::not_sent);
+    const client_response response = send_and_wait(loop, c, std::move(request));
+    CHECK(response.outcome == delivery::not_sent);
+    CHECK(response.connection_refused);
 }
 
 TEST_CASE("http server: a body over the size limit is rejected, one at the limit is accepted")
