--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -212,7 +212,8 @@
     incarnation incarnation_id{0};
     /** Counted from the time at which the command is applied, in milliseconds. */
     std::int64_t remaining_ms{0};
-    /** The server announced its end: it executes no order after remaining_ms. */
+    /** The server gave notice of its end, which is expected after remaining_ms. It may still be up
+     * until it refuses connections. */
     bool ended{false};
     /** Runs whose start got no answer, so that it may be executed later. */
     std::vector<run_id> unanswered_starts;
