Run driver: another instance's word does not prove that a server has ended

A follower that was told of a server's end marked the end as confirmed if the server had runs, and as the next leader ended them at once. The end of a server after a machine order is announced for the server that the machine list names when the answer arrives, which may be the one that replaced it and is at work.

Change: a follower keeps the server if it has runs; as the leader it polls it.

Evidence: the new test fails without the change (CHECK( 2 == 1 )).

--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -241,14 +241,9 @@
     const auto found = servers_.find(server.id);
     const bool known =
         found != servers_.end() && found->second.report.incarnation_id <= server.incarnation_id;
-    if (!known || leading_) {
-        return;
-    }
-    if (context_.state().runs.contains(server.id)) {
-        // The next leader ends its runs.
-        found->second.has_shut_down = true;
-        found->second.end_confirmed = true;
-    } else {
+    // The next leader polls a server that has runs: the notice may name one that replaced the
+    // server that has ended.
+    if (known && !leading_ && !context_.state().runs.contains(server.id)) {
         servers_.erase(found);
     }
 }
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -163,8 +163,7 @@
     bool has_shut_down{false};
     /** When its process is expected to have ended, if has_shut_down. */
     mono_time shut_down_by{};
-    /** Its process has certainly ended: after the notice it refused a connection, or another
-     * instance found so. */
+    /** Its process has certainly ended: after the notice it refused a connection. */
     bool end_confirmed{false};
     /** Gets no new runs before this time, since it did not accept a start. */
     mono_time refused_until{};
--- a/tests/unit/server_restart_test.cpp
+++ b/tests/unit/server_restart_test.cpp
@@ -291,3 +291,18 @@
     fleet.first.unreachable = true;
     CHECK(fleet.leader.run_until([&] { return !fleet.leader.is_running(job); }, 6s));
 }
+
+TEST_CASE(
+    "driver: a follower that was told of a server's end does not start its tasks elsewhere as "
+    "the leader while the server is at work")
+{
+    restarting_fleet fleet{base_port + 28};
+    fleet.leader.submit(job, make_short_step());
+    REQUIRE(fleet.leader.run_until([&] { return fleet.first.active_attempt(task) == 1; }, 1s));
+    fleet.leader.driver.on_leadership_lost();
+    fleet.leader.driver.on_server_ended({server_id{"i-1"}, fleet.first.born()});
+    fleet.leader.driver.on_leadership_gained();
+    fleet.add_second_server();
+    CHECK(fleet.max_active_runs(1500ms) == 1);
+    CHECK(fleet.second.active_attempt(task) == 0);
+}
