--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A worker of a gang crashes. The members of the next run start from different checkpoints."""
+"""Two maintenance waves share machines. The later one is said to be completed although machines of it had no upkeep."""
 
 import asyncio
 import pathlib
@@ -7,36 +7,41 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standin"))
 import standin  # noqa: E402
 
-HOST, PREFIX, KEY = "desk.example", "/filing/", "key-of-a"
+HOST, PREFIX, KEY = "desk.example", "/quote/", "key-of-a"
 CORE = 1000
-MACHINES = 7  # One of them is 0.143 of the service's workers; the largest share of the site file is 0.14, rounded up.
-MEMBERS = 4
-DOWN_S = 2.0
+MACHINES = 7
+IN_WAVE = ["m-1", "m-2", "m-3"]  # 0.43 of the machines; the site file's largest share is 0.49.
+DURATION_S = 25  # The site file's waves last 24 to 27 s.
+EARLIER, LATER = 9, 10
 
 
 async def case(site, trouble):
     for i in range(MACHINES):
-        site.add_machine(f"m-{i + 1}", "filing", cpu=8 * CORE)
+        site.add_machine(f"m-{i + 1}", "quote", cpu=16 * CORE)
     await site.start(standin.config(
-        1, [{"name": "r-filing", "host": HOST, "prefix": PREFIX, "service": "filing"}], ["filing"], [("a", KEY, 0)]))
-    job = await site.submit(HOST, PREFIX, KEY, {"spec": "[8000]", "steps": [
-        {"count": MEMBERS, "cpu": 6 * CORE, "mem_mb": 64, "estimate_ms": 8000, "gang": True, "checkpointing": True}]})
-    await asyncio.sleep(3.3)
+        1, [{"name": "r-quote", "host": HOST, "prefix": PREFIX, "service": "quote"}], ["quote"], [("a", KEY, 0)]))
+
+    await site.start_wave(EARLIER, IN_WAVE, DURATION_S, 1)
     if trouble:
-        worker = next(w for w in site.workers.values() if w.active)
-        worker.crash("crash")
-        await asyncio.sleep(DOWN_S)
-        await site.start_worker(worker.machine["name"], same_id=True)
-    await asyncio.sleep(12)
-
-    runs = {}
-    for _, run in site.started_runs:
-        if run.job == job:
-            runs.setdefault(run.attempt, {})[run.index] = run.started_from
-    mixed = {attempt: sorted(set(values.values())) for attempt, values in runs.items() if len(set(values.values())) > 1}
-    site.record.write("check", "UNASKED" if mixed else "all members of each run carry the same checkpoint",
-                      runs=runs, state=await site.state(HOST, PREFIX, KEY, job))
-    return standin.BROKEN if mixed else standin.HELD
+        while not any(site.waves[str(EARLIER)].values()):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
+    else:
+        await wait_until_completed(site, EARLIER)
+    await site.start_wave(LATER, IN_WAVE, DURATION_S, 1)
+
+    broken = False
+    for wave in (EARLIER, LATER):
+        await wait_until_completed(site, wave)
+        missed = [m for m, began in site.waves[str(wave)].items() if began is None]
+        site.record.write("check", "MIXED" if missed else "completed", wave=wave, without_upkeep=missed)
+        broken = broken or bool(missed)
+    return standin.BROKEN if broken else standin.HELD
+
+
+async def wait_until_completed(site, wave):
+    while await site.wave_state(wave) != "completed":
+        await asyncio.sleep(0.5)
 
 
 standin.run_case(case, __file__)
