--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,6 +13,7 @@
 PER_WORKER = 2
 MAX_UNAVAILABLE = 1
 DOWN_S = 2.0
+DURATION_S = 25  # The site file's waves last 24 to 27 s.
 AT_WORK = 100
 
 
@@ -53,7 +54,7 @@
     ended = set()
     site.on_end.append(lambda w, r, how: (ended.discard(r.index), on_end(w, r, how), ended.add(r.index)))
     site.ended_now = ended
-    await site.start_wave(1, ["m-1", "m-2"], 60, 1)
+    await site.start_wave(1, ["m-1", "m-2"], DURATION_S, 1)
     until = site.record.now() + 45
     while site.record.now() < until and not broken and await site.wave_state(1) != "completed":
         await asyncio.sleep(0.5)
