Dispatcher: work beyond an account's cap is no demand for machines

Pools whose jobs wait for their account's cap asked for machines that they could not use, and other pools lost them.

Cause: the CPU of waiting tasks was counted without regard to the cap.

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -318,23 +318,28 @@
         for (const auto& [number, o] : j.occurrences) {
             for (std::size_t i = 0; i < o.steps.size(); ++i) {
                 const auto& st = o.steps[i];
+                const jobs::step_spec& spec = j.spec.steps[i];
+                const std::int64_t task_cpu = spec.required_capacity().cpu_milli;
                 const auto waiting =
                     static_cast<std::int64_t>(st.tasks.size() - st.done - st.running);
-                if (j.spec.steps[i].long_running) {
-                    load.long_running_cpu += static_cast<std::int64_t>(st.tasks.size()) *
-                                             j.spec.steps[i].required_capacity().cpu_milli;
-                }
+                std::int64_t over_cap = 0;
                 if (waiting > 0 && j.may_start(o, i)) {
                     waits = true;
                     round.waiting_tasks[pool] += static_cast<std::size_t>(waiting);
-                    if (j.spec.steps[i].long_running) {
+                    if (spec.long_running) {
                         record_waiting_tasks(id, number, static_cast<std::uint32_t>(i), st.tasks);
                     }
-                    load.startable_cpu += waiting * j.spec.steps[i].required_capacity().cpu_milli;
-                    job_cpu += waiting * j.spec.steps[i].required_capacity().cpu_milli;
+                    const std::int64_t startable =
+                        claim_within_cap(round, j.account, spec.need, waiting);
+                    over_cap = waiting - startable;
+                    load.startable_cpu += startable * task_cpu;
+                    job_cpu += startable * task_cpu;
+                }
+                if (spec.long_running) {
+                    load.long_running_cpu +=
+                        (static_cast<std::int64_t>(st.tasks.size()) - over_cap) * task_cpu;
                 }
-                job_cpu += static_cast<std::int64_t>(st.running) *
-                           j.spec.steps[i].required_capacity().cpu_milli;
+                job_cpu += static_cast<std::int64_t>(st.running) * task_cpu;
             }
         }
         if (waits) {
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -34,9 +34,9 @@
     /** Capacity of the servers that accept new runs. */
     std::int64_t capacity_cpu{0};
     std::int64_t free_cpu{0};
-    /** CPU that long-running tasks hold or wait for */
+    /** CPU that long-running tasks hold or wait for, within the caps of their accounts. */
     std::int64_t long_running_cpu{0};
-    /** CPU that the tasks which may start now would take */
+    /** CPU that the tasks which may start now would take, within the caps of their accounts. */
     std::int64_t startable_cpu{0};
     /** CPU that the startable and the running tasks take of waiting jobs that can't meet their
      * deadlines any more. */
@@ -117,6 +117,10 @@
     const jobs::resources* find_cap(const team_id& account) const;
     bool within_account_cap(const scheduling_round& round, const team_id& account,
                             const jobs::resources& need) const;
+    /** Counts up to @p tasks waiting tasks as demand, as far as the account's cap allows them
+     * beside its running tasks and the demand counted before. @return their number. */
+    std::int64_t claim_within_cap(scheduling_round& round, const team_id& account,
+                                  const jobs::resources& need, std::int64_t tasks) const;
     bool has_crash_records(const jobs::job_id& job) const;
     void record_run_ends(const jobs::end_runs& cmd);
     void record_arrival(const jobs::submit_job& cmd);
--- a/src/fleet/job_placement.cpp
+++ b/src/fleet/job_placement.cpp
@@ -57,6 +57,31 @@
     return within_limits(sum, *cap);
 }
 
+std::int64_t dispatcher::claim_within_cap(scheduling_round& round, const team_id& account,
+                                          const jobs::resources& need, std::int64_t tasks) const
+{
+    const jobs::resources* cap = find_cap(account);
+    if (cap == nullptr) {
+        return tasks;
+    }
+    const auto& in_use = context_.state().in_use;
+    jobs::resources& claimed = round.claimed_usage[account];
+    jobs::resources used = claimed;
+    if (const auto running = in_use.find(account); running != in_use.end()) {
+        used += running->second;
+    }
+    const auto limit = [&](std::int64_t amount, std::int64_t available, std::int64_t task_need) {
+        if (available > 0 && task_need > 0) {
+            tasks = std::min(tasks, std::max<std::int64_t>(0, available - amount) / task_need);
+        }
+    };
+    limit(used.cpu_milli, cap->cpu_milli, need.cpu_milli);
+    limit(used.memory_mb, cap->memory_mb, need.memory_mb);
+    limit(used.accelerators, cap->accelerators, need.accelerators);
+    claimed += {need.cpu_milli * tasks, need.memory_mb * tasks, need.accelerators * tasks};
+    return tasks;
+}
+
 void dispatcher::pool_searches::begin_round()
 {
     plain.begin_round();
--- a/src/fleet/scheduling_round.h
+++ b/src/fleet/scheduling_round.h
@@ -19,6 +19,8 @@
     std::map<pool_id, std::size_t> waiting_tasks;
     /** Resources needed by the starts in this round's batch, by account. */
     std::map<team_id, jobs::resources> added_usage;
+    /** Resources needed by the waiting tasks that were counted as demand, by account. */
+    std::map<team_id, jobs::resources> claimed_usage;
     jobs::start_runs batch;
     std::size_t max_starts{0};
     /** Suspected tasks on a server that have not been running for long. */
--- a/tests/unit/server_demand_test.cpp
+++ b/tests/unit/server_demand_test.cpp
@@ -102,3 +102,18 @@
     with_free_cpu.arriving = {offer, offer, offer};
     CHECK(count_moves() == 0);
 }
+
+// Fails if jobs that are held back by their account's cap count as demand for machines.
+TEST_CASE("pools: jobs that wait for their account's cap move no machine")
+{
+    for (const bool capped : {true, false}) {
+        CAPTURE(capped);
+        two_pools fleet{static_cast<std::uint16_t>(base_port + (capped ? 140 : 143)), "a"};
+        const team_id account{"a"};
+        fleet.leader.set_cpu_cap(account, capped ? 20'000 : 0);
+        for (std::uint64_t job = 1; job <= 40; ++job) {
+            fleet.leader.submit(job, make_long_running_step(1), pool, account);
+        }
+        CHECK(fleet.orders_a_move(2s) != capped);
+    }
+}
