Maintenance: a wave completes only by its own orders

Cause: open orders were kept by machine alone. A wave took the accepted order of another one as its own, began a machine that was in maintenance for another one, and an answer was recorded for whatever order the machine had by then. Whether a machine was up again was judged by the old list as soon as a newer one had been requested.

Change: orders name their wave and have a number; a machine held by one wave, or moving, is no candidate of another one; lists are judged by the time at which they were requested; proposed starts count as down; an order stays open until its end is recorded. Waves get shared machines in the order of their deadlines.

Starts that are proposed and not recorded have no test of their own: they need a commit that takes longer than 0.1 s.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -39,6 +39,10 @@
 
 void machine_driver::on_applied(const jobs::command& cmd)
 {
+    if (const auto* step = std::get_if<jobs::step_maintenance>(&cmd)) {
+        on_maintenance_step(*step);
+        return;
+    }
     const auto* order = std::get_if<jobs::order_machine>(&cmd);
     if (order == nullptr) {
         return;
@@ -59,7 +63,11 @@
     term_ = context_.fencing_token();
     orders_.clear();
     cordoned_.clear();
+    proposed_starts_.clear();
     missed_lists_.clear();
+    // A list that was read in an earlier term may be long out of date.
+    machines_.clear();
+    machines_as_of_ = mono_time{};
     list_read_in_flight_ = false;
     list_refresh_needed_ = true;
     list_read_started_ = mono_time{};
@@ -107,11 +115,7 @@
         return;
     }
     last_plan_at_ = now;
-    for (const auto& [id, wave] : context_.state().waves) {
-        if (!wave.is_done()) {
-            advance_wave(id, wave);
-        }
-    }
+    advance_waves();
     balance_pools();
 }
 
@@ -165,6 +169,7 @@
     list_refresh_needed_ = false;
     machines_ = std::move(page_machines_);
     page_machines_.clear();
+    machines_as_of_ = list_read_started_;
     if (initial_machines_.empty()) {
         for (const auto& [id, m] : machines_) {
             ++initial_machines_[m.pool];
@@ -261,7 +266,7 @@
     };
     for (const auto& [id, m] : machines_) {
         const auto order = orders_.find(id);
-        const bool moving = order != orders_.end() && !order->second.to.empty();
+        const bool moving = order != orders_.end() && order->second.is_move();
         auto* need = need_of(moving ? order->second.to : m.pool);
         if (need == nullptr) {
             continue;
@@ -306,15 +311,14 @@
         const open_order& o = at->second;
         const machine_entry* entry = find_entry(at->first);
         const milliseconds move{context_.settings.bounds.move_ms};
-        const bool is_move = !o.to.empty();
-        const bool list_is_current = list_read_started_ > o.sent_at + move;
-        if (is_move && o.accepted && !list_is_current && now - o.sent_at > move) {
+        const bool list_is_current = machines_as_of_ > o.sent_at + move;
+        if (o.is_move() && o.accepted && !list_is_current && now - o.sent_at > move) {
             list_refresh_needed_ = true;
         }
-        const bool arrived = is_move && o.accepted && list_is_current && !list_read_in_flight_ &&
-                             entry != nullptr && entry->state != machine_state::moving;
+        const bool arrived = o.is_move() && o.accepted && list_is_current && entry != nullptr &&
+                             entry->state != machine_state::moving;
         const bool unknown =
-            is_move && !o.in_flight && !o.accepted && now - o.sent_at > order_retry_delay;
+            o.is_move() && !o.in_flight && !o.accepted && now - o.sent_at > order_retry_delay;
         if ((arrived || unknown) && entry != nullptr) {
             driver_.cordon(entry->server, false);
         }
@@ -334,7 +338,7 @@
 {
     const auto unanswered =
         static_cast<std::size_t>(std::ranges::count_if(orders_, [](const auto& entry) {
-            return !entry.second.accepted && !entry.second.to.empty();
+            return !entry.second.accepted && entry.second.is_move();
         }));
     const auto limit = static_cast<std::size_t>(
         std::ceil(context_.settings.machines.orders_per_s * max_unanswered_moves_s));
@@ -345,7 +349,7 @@
 {
     const machine_entry& entry = machines_.at(move.machine);
     driver_.cordon(entry.server, true);
-    orders_[move.machine] = {false, false, context_.now(), move.to};
+    orders_[move.machine] = {++last_order_number_, false, false, context_.now(), move.to};
     log::info("move_order", {{"machine", move.machine},
                              {"server", entry.server.str()},
                              {"from", move.from.str()},
@@ -377,13 +381,19 @@
     context_.client.send(
         context_.server_protocol.make_move_machine_request(
             context_.settings.machines.address, machine, to, {context_.settings.name, term_}),
-        [this, machine, server = entry->server, term = term_](auto&& response) {
+        [this, machine, number = known->second.number, server = entry->server,
+         term = term_](auto&& response) {
             if (term != term_ || !driver_.leading()) {
                 return;
             }
             const machine_result r = context_.server_protocol.parse_machine_reply(response);
             log::info("move_answer", {{"machine", machine}, {"answer", name_of(r)}});
-            open_order& o = orders_[machine];
+            list_refresh_needed_ = true;
+            const auto open = orders_.find(machine);
+            if (open == orders_.end() || open->second.number != number) {
+                return;
+            }
+            open_order& o = open->second;
             o.in_flight = false;
             o.accepted = r == machine_result::accepted;
             o.sent_at = context_.now();
@@ -392,9 +402,8 @@
             }
             if (!o.accepted && r != machine_result::unknown) {
                 driver_.cordon(server, false);
-                orders_.erase(machine);
+                orders_.erase(open);
             }
-            list_refresh_needed_ = true;
         });
 }
 
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -39,13 +39,24 @@
     static constexpr milliseconds order_retry_delay{2500};
     /** An order for a machine that has not been completed. */
     struct open_order {
+        /** Distinguishes the order from earlier ones for the machine, whose answers may be late. */
+        std::uint64_t number{0};
         bool in_flight{false};
         bool accepted{false};
+        /** When the order was sent; once it is accepted, when the answer arrived. */
         mono_time sent_at{};
         /** Target pool of a move; empty: the order is for maintenance. */
         pool_id to;
         /** Wave of the maintenance. */
         std::string wave;
+        /** The end of the maintenance has been proposed to the log. */
+        bool end_proposed{false};
+
+        bool is_move() const noexcept { return !to.empty(); }
+        bool is_maintenance_for(const std::string& other) const noexcept
+        {
+            return !is_move() && wave == other;
+        }
     };
 
     /** @return whether this instance leads and no earlier leader can still hold the machine
@@ -62,11 +73,17 @@
     /** @return whether the machine is missing from enough consecutive lists to count as gone. */
     bool is_unlisted(const std::string& machine) const;
     const server_view* server_on(const machine_entry& entry) const;
+    void advance_waves();
     void advance_wave(const std::string& id, const jobs::maintenance_wave& wave);
-    scheduler::maintenance_candidate make_candidate(const std::string& machine,
+    void on_maintenance_step(const jobs::step_maintenance& cmd);
+    scheduler::maintenance_candidate make_candidate(const std::string& wave,
+                                                    const std::string& machine,
                                                     const jobs::maintenance_machine& m) const;
-    void restore_cordoned(const std::string& machine);
-    /** Ends the maintenance of a machine that gets none; its server accepts new runs again. */
+    /** @return whether a move, or the maintenance for another wave, has to end before the machine
+     * can be drained for this wave. */
+    bool is_held_by_another(const std::string& wave, const std::string& machine) const;
+    void restore_cordoned(const std::string& wave, const std::string& machine);
+    /** The server on the machine accepts new runs again. */
     void release_cordoned(const std::string& machine);
     /** Stops long-running tasks on cordoned servers as far as their availability limits allow.
      * @param deadline_at_risk stops the other tasks as well. */
@@ -75,8 +92,10 @@
      * the next leader knows of it. */
     void order_maintenance(const std::string& wave, const std::string& machine);
     void send_maintenance(const std::string& machine);
-    void on_maintenance_reply(const std::string& wave, const std::string& machine,
-                              machine_result r);
+    void on_maintenance_reply(const std::string& machine, std::uint64_t number,
+                              const server_id& server, machine_result r);
+    /** Records in the log that the machine needs no further maintenance for the wave. */
+    void propose_maintenance_end(const std::string& machine, open_order& order, bool gone);
     void advance_maintenance(const std::string& wave, const std::string& machine);
     void balance_pools();
     void propose_move(const scheduler::pool_move& move);
@@ -97,10 +116,15 @@
     /** A machine that is being drained or is in maintenance. */
     struct cordoned_machine {
         server_id server;
+        std::string wave;
         /** The maintenance is about to begin or has begun. */
         bool begun{false};
     };
     std::map<std::string, cordoned_machine> cordoned_;
+    /** Wave and machine of the maintenances whose start has been proposed to the log and is not
+     * applied yet. */
+    std::set<std::pair<std::string, std::string>> proposed_starts_;
+    std::uint64_t last_order_number_{0};
     /** Consecutive lists that missed each machine of an open wave. */
     std::map<std::string, std::size_t> missed_lists_;
     /** Machines of the list whose entries can't be read. */
@@ -115,6 +139,8 @@
     void record_order(const std::string& machine, const jobs::machine_order& order);
     std::map<std::string, recorded_order> recorded_orders_;
     mono_time list_read_started_{};
+    /** When the first page of machines_ was requested: it shows what happened before. */
+    mono_time machines_as_of_{};
     mono_time last_plan_at_{};
     bool list_read_in_flight_{false};
     bool list_refresh_needed_{true};
--- a/src/fleet/machine_maintenance.cpp
+++ b/src/fleet/machine_maintenance.cpp
@@ -5,6 +5,7 @@
 #include "fescuestream/base/log.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fescue::fleet {
 
@@ -36,15 +37,17 @@
 } // namespace
 
 scheduler::maintenance_candidate
-machine_driver::make_candidate(const std::string& machine, const jobs::maintenance_machine& m) const
+machine_driver::make_candidate(const std::string& wave, const std::string& machine,
+                               const jobs::maintenance_machine& m) const
 {
     scheduler::maintenance_candidate out;
     out.machine = machine;
-    out.started = m.started;
+    out.started = m.started || proposed_starts_.contains({wave, machine});
+    if (is_held_by_another(wave, machine)) {
+        return out;
+    }
     const machine_entry* entry = find_entry(machine);
-    const auto order = orders_.find(machine);
-    const bool moving = order != orders_.end() && !order->second.to.empty();
-    out.ready = entry != nullptr && entry->state == machine_state::up && !moving;
+    out.ready = entry != nullptr && entry->state == machine_state::up;
     out.cordoned = cordoned_.contains(machine);
     if (entry == nullptr && is_unlisted(machine)) {
         // The machine is not in the list, so there is nothing to drain: it is ready at once.
@@ -62,6 +65,23 @@
     return out;
 }
 
+void machine_driver::advance_waves()
+{
+    std::vector<std::pair<wall_ms, const std::string*>> open;
+    for (const auto& [id, wave] : context_.state().waves) {
+        if (!wave.is_done()) {
+            open.emplace_back(wave.asked_at + wave.duration_ms, &id);
+        }
+    }
+    // Waves that share machines get them in the order of their deadlines.
+    std::ranges::sort(open, [](const auto& a, const auto& b) {
+        return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+    });
+    for (const auto& [deadline, id] : open) {
+        advance_wave(*id, context_.state().waves.at(*id));
+    }
+}
+
 void machine_driver::advance_wave(const std::string& id, const jobs::maintenance_wave& wave)
 {
     const scope_timer timing{"drive_wave"};
@@ -75,17 +95,17 @@
             continue;
         }
         if (m.started) {
-            restore_cordoned(machine);
+            restore_cordoned(id, machine);
             advance_maintenance(id, machine);
         } else if (const machine_entry* entry = find_entry(machine)) {
             driver_.expect_maintenance(entry->server);
         }
-        view.machines.push_back(make_candidate(machine, m));
+        view.machines.push_back(make_candidate(id, machine, m));
     }
     const auto decision = scheduler::plan_maintenance(view);
     for (const std::size_t i : decision.cordon) {
         const machine_entry* entry = find_entry(view.machines[i].machine);
-        cordoned_[view.machines[i].machine] = {entry->server, false};
+        cordoned_[view.machines[i].machine] = {entry->server, id, false};
         driver_.drain(entry->server);
         log::info("machine_withheld", {{"machine", entry->id},
                                        {"server", entry->server.str()},
@@ -104,20 +124,48 @@
         }
         // Recorded in the job log before the order is sent, so that the log shows the next leader
         // that the machine may be down.
-        context_.log.propose_here(jobs::step_maintenance{id, machine, false, false});
+        if (context_.log.propose_here(jobs::step_maintenance{id, machine, false, false})) {
+            proposed_starts_.emplace(id, machine);
+        }
     }
 }
 
-void machine_driver::restore_cordoned(const std::string& machine)
+bool machine_driver::is_held_by_another(const std::string& wave, const std::string& machine) const
+{
+    if (const auto order = orders_.find(machine); order != orders_.end()) {
+        return !order->second.is_maintenance_for(wave);
+    }
+    const auto cordoned = cordoned_.find(machine);
+    return cordoned != cordoned_.end() && cordoned->second.wave != wave;
+}
+
+void machine_driver::restore_cordoned(const std::string& wave, const std::string& machine)
 {
     const machine_entry* entry = find_entry(machine);
     const auto order = orders_.find(machine);
-    const bool accepted = order != orders_.end() && order->second.accepted;
-    if (entry != nullptr && !accepted) {
+    const bool is_past =
+        order != orders_.end() && (order->second.accepted || order->second.end_proposed);
+    if (entry != nullptr && !is_past && !is_held_by_another(wave, machine)) {
         // An earlier leader began the maintenance; its list of cordoned machines was only in
         // memory.
-        cordoned_.try_emplace(machine, cordoned_machine{entry->server, true}).first->second.begun =
-            true;
+        cordoned_.try_emplace(machine, cordoned_machine{entry->server, wave, true})
+            .first->second.begun = true;
+    }
+}
+
+void machine_driver::on_maintenance_step(const jobs::step_maintenance& cmd)
+{
+    proposed_starts_.erase({cmd.id, cmd.machine});
+    if (!cmd.done && !cmd.gone) {
+        return;
+    }
+    const auto order = orders_.find(cmd.machine);
+    if (order != orders_.end() && order->second.is_maintenance_for(cmd.id)) {
+        orders_.erase(order);
+    }
+    const auto cordoned = cordoned_.find(cmd.machine);
+    if (cordoned != cordoned_.end() && cordoned->second.wave == cmd.id) {
+        release_cordoned(cmd.machine);
     }
 }
 
@@ -133,6 +181,11 @@
 void machine_driver::drain_cordoned_servers(bool deadline_at_risk)
 {
     for (auto& [machine, cordoned] : cordoned_) {
+        const auto order = orders_.find(machine);
+        if (order != orders_.end() && order->second.accepted) {
+            // The server has ended; the one that follows it is not to be drained.
+            continue;
+        }
         server_id& id = cordoned.server;
         if (const machine_entry* entry = find_entry(machine)) {
             id = entry->server;
@@ -182,6 +235,9 @@
 
 void machine_driver::advance_maintenance(const std::string& wave, const std::string& machine)
 {
+    if (is_held_by_another(wave, machine)) {
+        return;
+    }
     const mono_time now = context_.now();
     const auto known = orders_.find(machine);
     if (known == orders_.end()) {
@@ -191,6 +247,9 @@
         return;
     }
     open_order& o = known->second;
+    if (o.end_proposed) {
+        return;
+    }
     if (!o.accepted) {
         if (!o.in_flight && now - o.sent_at >= order_retry_delay && may_order(machine)) {
             order_maintenance(wave, machine);
@@ -199,7 +258,7 @@
     }
     const machine_entry* entry = find_entry(machine);
     const milliseconds maintenance{context_.settings.bounds.maintenance_ms};
-    const bool list_is_current = list_read_started_ > o.sent_at + maintenance;
+    const bool list_is_current = machines_as_of_ > o.sent_at + maintenance;
     if (!list_is_current && now - o.sent_at > maintenance) {
         list_refresh_needed_ = true;
     }
@@ -208,19 +267,24 @@
         // An earlier leader's order may have been executed long before; the server that is on the
         // machine now must accept new runs again.
         driver_.cordon(entry->server, false);
-        orders_.erase(known);
         cordoned_.erase(machine);
-        context_.log.propose_here(jobs::step_maintenance{wave, machine, true, false});
+        propose_maintenance_end(machine, o, false);
     } else if (list_is_current && is_unlisted(machine)) {
         log::info("upkeep_machine_gone", {{"machine", machine}, {"wave", wave}});
-        orders_.erase(known);
         release_cordoned(machine);
-        context_.log.propose_here(jobs::step_maintenance{wave, machine, true, true});
+        propose_maintenance_end(machine, o, true);
     } else if (list_is_current) {
         list_refresh_needed_ = true;
     }
 }
 
+void machine_driver::propose_maintenance_end(const std::string& machine, open_order& order,
+                                             bool gone)
+{
+    order.end_proposed =
+        context_.log.propose_here(jobs::step_maintenance{order.wave, machine, true, gone});
+}
+
 void machine_driver::order_maintenance(const std::string& wave, const std::string& machine)
 {
     const machine_entry* entry = find_entry(machine);
@@ -233,18 +297,19 @@
     if (!order_budget_.try_acquire(context_.now())) {
         return;
     }
-    orders_[machine] = {false, false, context_.now(), {}, wave};
+    orders_[machine] = {++last_order_number_, false, false, context_.now(), {}, wave};
     context_.log.propose_here(jobs::order_machine{machine, {}, term_, wall_now()});
 }
 
 void machine_driver::send_maintenance(const std::string& machine)
 {
     const auto known = orders_.find(machine);
-    if (known == orders_.end() || !known->second.to.empty() || known->second.in_flight ||
+    if (known == orders_.end() || known->second.is_move() || known->second.in_flight ||
         known->second.accepted) {
         return;
     }
     const std::string wave = known->second.wave;
+    const machine_entry* entry = find_entry(machine);
     known->second.in_flight = true;
     known->second.sent_at = context_.now();
     context_.counters.count("machine_orders");
@@ -252,30 +317,34 @@
     context_.client.send(
         context_.server_protocol.make_maintenance_request(
             context_.settings.machines.address, machine, wave, {context_.settings.name, term_}),
-        [this, wave, machine, term = term_](auto&& response) {
+        [this, machine, number = known->second.number,
+         server = entry == nullptr ? server_id{} : entry->server, term = term_](auto&& response) {
             if (term == term_ && driver_.leading()) {
-                on_maintenance_reply(wave, machine,
+                on_maintenance_reply(machine, number, server,
                                      context_.server_protocol.parse_machine_reply(response));
             }
         });
 }
 
-void machine_driver::on_maintenance_reply(const std::string& wave, const std::string& machine,
-                                          machine_result r)
+void machine_driver::on_maintenance_reply(const std::string& machine, std::uint64_t number,
+                                          const server_id& server, machine_result r)
 {
-    open_order& o = orders_[machine];
+    const auto known = orders_.find(machine);
+    const bool outdated = known == orders_.end() || known->second.number != number;
+    log::info("upkeep_answer",
+              {{"machine", machine}, {"answer", name_of(r)}, {"outdated", outdated}});
+    if (outdated) {
+        return;
+    }
+    open_order& o = known->second;
     o.in_flight = false;
-    log::info("upkeep_answer", {{"machine", machine}, {"wave", wave}, {"answer", name_of(r)}});
     if (r == machine_result::accepted) {
         o.accepted = true;
         o.sent_at = context_.now();
-        if (const machine_entry* entry = find_entry(machine)) {
-            driver_.record_machine_shutdown(entry->server);
-        }
+        driver_.record_machine_shutdown(server);
     } else if (r == machine_result::no_such_machine || r == machine_result::not_in_wave) {
-        orders_.erase(machine);
         release_cordoned(machine);
-        context_.log.propose_here(jobs::step_maintenance{wave, machine, true, true});
+        propose_maintenance_end(machine, o, true);
     } else if (r == machine_result::busy || r == machine_result::throttled) {
         o.sent_at = context_.now() - order_retry_delay + busy_retry_delay;
     }
