Machines: no order by a list that is older than a server

Cause: only the machine list says which server is on a machine, and it was not read again after a crash. It named the earlier server, which had no runs, so the machine counted as empty.

Change: while a server is known that appeared after the list was requested and is not in it, the list is read again, and no machine in its data centre and rack is drained, maintained or moved. The check is repeated when the recorded order is sent. A new leader drops the list of an earlier term.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -67,6 +67,7 @@
     missed_lists_.clear();
     // A list that was read in an earlier term may be long out of date.
     machines_.clear();
+    listed_servers_.clear();
     machines_as_of_ = mono_time{};
     list_read_in_flight_ = false;
     list_refresh_needed_ = true;
@@ -115,6 +116,8 @@
         return;
     }
     last_plan_at_ = now;
+    find_unlisted_servers();
+    list_refresh_needed_ = list_refresh_needed_ || !unlisted_servers_.empty();
     advance_waves();
     balance_pools();
 }
@@ -170,6 +173,10 @@
     machines_ = std::move(page_machines_);
     page_machines_.clear();
     machines_as_of_ = list_read_started_;
+    listed_servers_.clear();
+    for (const auto& [id, m] : machines_) {
+        listed_servers_.insert(m.server);
+    }
     if (initial_machines_.empty()) {
         for (const auto& [id, m] : machines_) {
             ++initial_machines_[m.pool];
@@ -239,6 +246,31 @@
     return found == driver_.servers().end() ? nullptr : &found->second;
 }
 
+void machine_driver::find_unlisted_servers()
+{
+    unlisted_servers_.clear();
+    for (const auto& [id, view] : driver_.servers()) {
+        if (view.first_seen_at >= machines_as_of_ && !listed_servers_.contains(id)) {
+            unlisted_servers_.push_back({view.report.data_centre, view.report.rack});
+        }
+    }
+}
+
+bool machine_driver::may_host_unlisted_server(const machine_entry& machine) const
+{
+    // A machine keeps its data centre and its rack.
+    return std::ranges::any_of(unlisted_servers_, [&](const location& server) {
+        return (server.data_centre.empty() || server.data_centre == machine.data_centre) &&
+               (server.rack.empty() || server.rack == machine.rack);
+    });
+}
+
+bool machine_driver::may_take_down(const machine_entry& machine) const
+{
+    const server_view* server = server_on(machine);
+    return !may_host_unlisted_server(machine) && (server == nullptr || server->runs.empty());
+}
+
 std::vector<scheduler::pool_need> machine_driver::pool_needs() const
 {
     std::vector<scheduler::pool_need> out;
@@ -291,8 +323,9 @@
         const auto pool = context_.state().doc.pools.find(m.pool);
         const bool is_off = pool != context_.state().doc.pools.end() && pool->second.standby;
         const server_view* server = server_on(m);
-        const bool is_usable = is_off || (server != nullptr && server->reachable() &&
-                                          !server->report.leaving && server->report.pool == m.pool);
+        const bool is_usable =
+            is_off || (server != nullptr && server->reachable() && !server->report.leaving &&
+                       server->report.pool == m.pool && !may_host_unlisted_server(m));
         if (is_usable) {
             const bool idle = server == nullptr || server->runs.empty();
             // The list shows the capacity of the machine, not what its server may use at present.
@@ -367,10 +400,10 @@
         log::info("move_dropped", {{"machine", machine}, {"to", to.str()}});
         return;
     }
-    const server_view* view = server_on(*entry);
-    if (view != nullptr && !view->runs.empty()) {
-        // These starts were proposed before the move was decided and committed after it.
-        log::info("move_dropped", {{"machine", machine}, {"runs", view->runs.size()}});
+    find_unlisted_servers();
+    if (!may_take_down(*entry)) {
+        // A start was committed, or another server appeared, after the move had been decided.
+        log::info("move_dropped", {{"machine", machine}, {"to", to.str()}});
         driver_.cordon(entry->server, false);
         orders_.erase(known);
         return;
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -73,6 +73,15 @@
     /** @return whether the machine is missing from enough consecutive lists to count as gone. */
     bool is_unlisted(const std::string& machine) const;
     const server_view* server_on(const machine_entry& entry) const;
+    /** Finds the servers that have appeared since the list was requested. Each of them runs on a
+     * machine for which the list still names an earlier server, or none. */
+    void find_unlisted_servers();
+    /** @return whether one of these servers may be on the machine, so that it is not known what the
+     * machine runs. */
+    bool may_host_unlisted_server(const machine_entry& machine) const;
+    /** @return whether an order may take the machine down: its present server is known and has no
+     * runs. */
+    bool may_take_down(const machine_entry& machine) const;
     void advance_waves();
     void advance_wave(const std::string& id, const jobs::maintenance_wave& wave);
     void on_maintenance_step(const jobs::step_maintenance& cmd);
@@ -110,6 +119,14 @@
     scheduler::pool_planner planner_;
     std::map<std::string, machine_entry> machines_;
     std::map<std::string, machine_entry> page_machines_;
+    /** Servers of machines_. */
+    std::set<server_id> listed_servers_;
+    /** Where the servers are that find_unlisted_servers() has found. */
+    struct location {
+        data_centre_id data_centre;
+        rack_id rack;
+    };
+    std::vector<location> unlisted_servers_;
     /** Number of machines in each pool in the first list that was read. */
     std::map<pool_id, std::size_t> initial_machines_;
     std::map<std::string, open_order> orders_;
--- a/src/fleet/machine_maintenance.cpp
+++ b/src/fleet/machine_maintenance.cpp
@@ -47,7 +47,8 @@
         return out;
     }
     const machine_entry* entry = find_entry(machine);
-    out.ready = entry != nullptr && entry->state == machine_state::up;
+    out.ready =
+        entry != nullptr && entry->state == machine_state::up && !may_host_unlisted_server(*entry);
     out.cordoned = cordoned_.contains(machine);
     if (entry == nullptr && is_unlisted(machine)) {
         // The machine is not in the list, so there is nothing to drain: it is ready at once.
@@ -288,10 +289,9 @@
 void machine_driver::order_maintenance(const std::string& wave, const std::string& machine)
 {
     const machine_entry* entry = find_entry(machine);
-    const server_view* view = entry == nullptr ? nullptr : server_on(*entry);
-    if (view != nullptr && !view->runs.empty()) {
-        // These starts were proposed before the maintenance was decided and committed after it; the
-        // server is drained again first.
+    if (entry != nullptr && !may_take_down(*entry)) {
+        // A start was committed, or another server appeared, after the maintenance had been
+        // decided; the server is drained again first.
         return;
     }
     if (!order_budget_.try_acquire(context_.now())) {
@@ -310,6 +310,12 @@
     }
     const std::string wave = known->second.wave;
     const machine_entry* entry = find_entry(machine);
+    find_unlisted_servers();
+    if (entry != nullptr && !may_take_down(*entry)) {
+        log::info("upkeep_put_off", {{"machine", machine}, {"wave", wave}});
+        orders_.erase(known);
+        return;
+    }
     known->second.in_flight = true;
     known->second.sent_at = context_.now();
     context_.counters.count("machine_orders");
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -98,6 +98,9 @@
     const mono_time reported_at = context_.now() - age;
     auto [entry, is_new] = servers_.try_emplace(report.id);
     server_view& view = entry->second;
+    if (is_new) {
+        view.first_seen_at = context_.now();
+    }
     if (leading_ && view.fence.token() == 0) {
         view.fence = server_fence{tokens_.issue()};
     }
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -115,6 +115,8 @@
 struct server_view {
     jobs::server_report report;
     mono_time last_report_at{};
+    /** When the first report reached this instance. */
+    mono_time first_seen_at{};
     /** Time of the last report that reached this instance. Unlike last_report_at, it is not reset
      * by a change of leader. */
     mono_time reported_at{};
--- a/tests/fakes/scheduling_leader.h
+++ b/tests/fakes/scheduling_leader.h
@@ -214,6 +214,12 @@
         send_reports();
     }
 
+    /** The server reports no more. */
+    void remove_server(const std::string& id)
+    {
+        std::erase_if(reports_, [&](const auto& r) { return r.id == server_id{id}; });
+    }
+
     /** Changes what the server reports, and sends the report. */
     void set_capacity(const std::string& id, const jobs::resources& capacity)
     {
@@ -325,6 +331,9 @@
                 {},
                 {[](const instance_id&, const wire::message&) { return false; },
                  [this](const jobs::command& cmd, const jobs::outcome&) {
+                     if (before_applied) {
+                         before_applied(cmd);
+                     }
                      driver.on_applied(cmd);
                      work.on_applied(cmd);
                      machines.on_applied(cmd);
@@ -335,6 +344,8 @@
     dispatcher work{shared, driver};
     machine_driver machines{shared, driver, work};
 
+    /** Called when a command has been committed, before the leader acts on it. */
+    std::function<void(const jobs::command&)> before_applied;
     /** Whether the servers send no reports by themselves. */
     bool withhold_reports{false};
 
--- a/tests/unit/maintenance_test.cpp
+++ b/tests/unit/maintenance_test.cpp
@@ -119,3 +119,57 @@
     fleet.start_wave("2", 1, 20'000);
     CHECK(fleet.finish_waves({"1", "2"}, 10s));
 }
+
+// Fails if a wave takes down a machine by a list that names the server from before a crash.
+TEST_CASE("maintenance: a server at work is not taken down because the list names an earlier one")
+{
+    maintained_fleet fleet{base_port + 6, 1};
+    scheduling_leader& leader = fleet.leader;
+    leader.add_server("i-m-1-1", base_port + 7, {1, 1, 0});
+    REQUIRE(leader.run_until([&] { return fleet.service.list_reads > 0; }, 2s));
+    leader.run_for(200ms);
+    leader.remove_server("i-m-1-1");
+    fleet.service.replace_server("m-1");
+    fake_worker worker{leader.loop, base_port + 8};
+    leader.add_server("i-m-1-2", base_port + 8);
+    // One task of the step has no server, so the other one keeps its server from being emptied.
+    leader.submit(1, make_long_running_step(2));
+    const jobs::task_id task{jobs::job_id{1}, 0, 0, 0};
+    REQUIRE(leader.run_until([&] { return leader.driver.is_ready(task); }, 2s));
+    std::vector<std::string> ended;
+    fleet.service.on_shutdown = [&](const std::string& server) { ended.push_back(server); };
+    fleet.start_wave("1", 1, 20'000);
+    leader.run_for(3s);
+    CHECK(leader.driver.is_ready(task));
+    CHECK(ended.empty());
+    leader.log.propose_here(jobs::cancel_job{task.job, wall_now()});
+    CHECK(fleet.finish_waves({"1"}, 5s));
+    CHECK(ended == std::vector<std::string>{"i-m-1-2"});
+}
+
+// Fails if a machine is taken down whose server has appeared between the decision and the order.
+TEST_CASE("maintenance: a server that appears while the order is recorded is not taken down")
+{
+    maintained_fleet fleet{base_port + 9, 1};
+    scheduling_leader& leader = fleet.leader;
+    leader.add_server("i-m-1-1", base_port + 10, {1, 1, 0});
+    REQUIRE(leader.run_until([&] { return fleet.service.list_reads > 0; }, 2s));
+    leader.run_for(200ms);
+    fake_worker worker{leader.loop, base_port + 11};
+    std::optional<int> reads_before;
+    leader.before_applied = [&](const jobs::command& cmd) {
+        if (std::holds_alternative<jobs::order_machine>(cmd) && !reads_before) {
+            reads_before = fleet.service.list_reads;
+            leader.remove_server("i-m-1-1");
+            fleet.service.replace_server("m-1");
+            leader.add_server("i-m-1-2", base_port + 11);
+        }
+    };
+    bool list_was_read = true;
+    fleet.service.on_shutdown = [&](const std::string&) {
+        list_was_read = reads_before && fleet.service.list_reads > *reads_before;
+    };
+    fleet.start_wave("1", 1, 20'000);
+    CHECK(fleet.finish_waves({"1"}, 8s));
+    CHECK(list_was_read);
+}
--- a/tests/unit/server_demand_test.cpp
+++ b/tests/unit/server_demand_test.cpp
@@ -117,3 +117,21 @@
         CHECK(fleet.orders_a_move(2s) != capped);
     }
 }
+
+// Fails if a machine is moved by a list that names the server from before a crash.
+TEST_CASE("pools: a server at work is not moved because the list names an idle earlier one")
+{
+    two_pools fleet{base_port + 146, "a"};
+    scheduling_leader& leader = fleet.leader;
+    // The next server on m-2 gets a task of another job.
+    leader.remove_server("i-2");
+    fleet.service.machines["m-2"] = "i-2-next";
+    fake_worker next{leader.loop, base_port + 149};
+    leader.add_server("i-2-next", base_port + 149, {64'000, 64'000, 0}, other_pool, "b");
+    jobs::step_spec step = make_long_running_step(1);
+    step.label = "b";
+    leader.submit(2, step, other_pool);
+    REQUIRE(leader.run_until([&] { return !next.starts.empty(); }, 3s));
+    leader.submit(1, make_long_running_step(2));
+    CHECK_FALSE(fleet.orders_a_move(4s));
+}
