--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -88,6 +88,13 @@
     find_server(scheduling_round& round, std::span<const scheduler::server_candidate> servers,
                 const jobs::step_spec& spec, const scheduler::placement_hints& hints,
                 bool is_gang_begun);
+    /** Sets the hints that differ between the tasks of a step. @param record may be null. */
+    void set_task_hints(const scheduling_round& round, const jobs::task_id& task,
+                        const jobs::step_spec& spec, const jobs::crash_record* record,
+                        scheduler::placement_hints& hints) const;
+    /** Counts the task as a run of the server. */
+    void record_placement(const jobs::task_id& task, const jobs::step_spec& spec,
+                          const scheduler::placement_hints& hints, scheduler::server_candidate& c);
     /** Records the step's tasks from this index on that have waited for a server in vain. */
     void record_unplaced_tasks(const scheduling_round& round, const jobs::task_id& first,
                                const jobs::step_spec& spec, const std::vector<jobs::task>& tasks);
@@ -154,7 +161,7 @@
     waiting_tasks waiting_tasks_;
     /** Suspected tasks that wait for a server; long-running ones are in both. */
     waiting_tasks waiting_suspects_;
-    /** Whose turn it is to be searched a server of a pool. */
+    /** The searches for servers of one pool. */
     struct pool_searches {
         static constexpr std::size_t max_failures = 24;
         static constexpr std::size_t max_suspect_failures = 32;
@@ -167,7 +174,7 @@
         }
 
         scheduler::search_rotation plain{max_failures};
-        /** Suspects of one crash, and of several; those of the same kind need the same servers. */
+        /** Suspects of one crash, and of several: they need different servers. */
         scheduler::search_rotation of_one_crash{max_suspect_failures};
         scheduler::search_rotation of_several_crashes{max_suspect_failures};
     };
--- a/src/fleet/job_placement.cpp
+++ b/src/fleet/job_placement.cpp
@@ -172,6 +172,35 @@
     return chosen;
 }
 
+void dispatcher::set_task_hints(const scheduling_round& round, const task_id& task,
+                                const jobs::step_spec& spec, const jobs::crash_record* record,
+                                scheduler::placement_hints& hints) const
+{
+    const auto failed = last_failed_server_.find(task);
+    hints.avoid = failed == last_failed_server_.end() ? server_id{} : failed->second;
+    hints.may_use_draining = waiting_tasks_.waiting_time(task, round.now) >= max_wait_for_drain;
+    hints.suspected = scheduler::suspicion::none;
+    if (record != nullptr) {
+        const jobs::job& j = context_.state().jobs.at(task.job);
+        set_suspicion(round, context_.state().current_terms(j).pool, *record, spec, hints);
+    }
+    const bool is_suspect = hints.suspected != scheduler::suspicion::none;
+    hints.may_share_server = may_share_server(task, spec, record, is_suspect, round.now);
+}
+
+void dispatcher::record_placement(const task_id& task, const jobs::step_spec& spec,
+                                  const scheduler::placement_hints& hints, server_candidate& c)
+{
+    c.free -= spec.required_capacity();
+    waiting_tasks_.record_start(task);
+    waiting_suspects_.record_start(task);
+    record_suspect_start(c, hints);
+    ++c.runs;
+    c.long_running_tasks += spec.long_running ? 1 : 0;
+    c.has_trial_task = true;
+    c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
+}
+
 void dispatcher::start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                             std::uint32_t occurrence, std::uint32_t step,
                             std::vector<server_candidate>& servers)
@@ -190,7 +219,6 @@
     std::vector<std::pair<server_id, std::uint32_t>> tasks_by_server;
     hints.step_on_server = &tasks_by_server;
     hints.job = id;
-    const pool_id& pool = context_.state().current_terms(j).pool;
     std::array<bool, 2> unplaced_suspects{};
     const auto count_placement = [&](const server_id& server) {
         const auto known =
@@ -235,23 +263,18 @@
             return;
         }
         const task_id task{id, occurrence, step, i};
-        const auto failed = last_failed_server_.find(task);
-        hints.avoid = failed == last_failed_server_.end() ? server_id{} : failed->second;
-        hints.may_use_draining = waiting_tasks_.waiting_time(task, round.now) >= max_wait_for_drain;
         const jobs::crash_record* record = find_crash_record(task);
-        hints.suspected = scheduler::suspicion::none;
-        if (record != nullptr) {
-            set_suspicion(round, pool, *record, spec, hints);
-        }
+        set_task_hints(round, task, spec, record, hints);
         const bool is_suspect = hints.suspected != scheduler::suspicion::none;
         bool& unplaced = unplaced_suspects[is_suspect && record->losses().size() > 1 ? 1 : 0];
         const bool may_start = record == nullptr || record->may_start();
-        if (!spec.gang &&
-            (!may_start ||
-             (is_suspect && (unplaced || !round.searches->of_suspect(*record).may_search(id))))) {
+        if (!spec.gang && !may_start) {
+            continue;
+        }
+        if (!spec.gang && is_suspect &&
+            (unplaced || !round.searches->of_suspect(*record).may_search(id))) {
             continue;
         }
-        hints.may_share_server = may_share_server(task, spec, record, is_suspect, round.now);
         if (!is_suspect && failed_hints && failed_hints->allow_all_of(hints)) {
             continue;
         }
@@ -278,14 +301,7 @@
             continue;
         }
         server_candidate& c = servers[*chosen];
-        c.free -= spec.required_capacity();
-        waiting_tasks_.record_start(task);
-        waiting_suspects_.record_start(task);
-        record_suspect_start(c, hints);
-        ++c.runs;
-        c.long_running_tasks += spec.long_running ? 1 : 0;
-        c.has_trial_task = true;
-        c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
+        record_placement(task, spec, hints, c);
         round.added_usage[j.account] += spec.need;
         count_placement(c.server->id);
         hints.step_rack = c.server->rack;
