Dispatcher: jobs that no server fits are ruled out without a look at each task

With several hundred waiting jobs at the head of a queue each round looked at every task of the long-running ones. A search that fails is now made once more without regard to how long the task has waited; mostly that fails too, and then rules out later jobs as a whole.

--- a/src/fleet/job_placement.cpp
+++ b/src/fleet/job_placement.cpp
@@ -162,14 +162,21 @@
         return std::nullopt;
     }
     const auto chosen = scheduler::choose(servers, spec, hints);
-    if (!chosen && !suspected) {
-        round.searches->plain.record_failure();
-        // The members placed so far give their servers back if the gang can't be completed.
-        if (!is_gang_begun) {
-            round.failed_searches.add(spec, hints);
-        }
+    if (chosen || suspected) {
+        return chosen;
+    }
+    round.searches->plain.record_failure();
+    // The members placed so far give their servers back if the gang can't be completed.
+    if (!is_gang_begun) {
+        // Mostly it makes no difference how long the task has waited; then jobs can be ruled out
+        // without a look at each of their tasks.
+        scheduler::placement_hints widest = hints;
+        widest.may_use_draining = true;
+        widest.may_share_server = true;
+        const bool any = scheduler::choose(servers, spec, widest).has_value();
+        round.failed_searches.add(spec, any ? hints : widest);
     }
-    return chosen;
+    return std::nullopt;
 }
 
 void dispatcher::set_task_hints(const scheduling_round& round, const task_id& task,
@@ -210,10 +217,15 @@
     if (spec.gang && j.occurrences.at(occurrence).steps[step].running > 0) {
         return;
     }
+    const bool has_suspects = has_crash_records(id);
     // The tasks of such a step all have the same hints.
-    const bool tasks_are_alike = !spec.long_running && !has_crash_records(id);
+    const bool tasks_are_alike = !spec.long_running && !has_suspects;
     scheduler::placement_hints hints;
-    if (tasks_are_alike && round.failed_searches.rule_out(spec, hints)) {
+    hints.may_use_draining = hints.may_share_server = !tasks_are_alike;
+    if (!has_suspects && round.failed_searches.rule_out(spec, hints)) {
+        if (spec.long_running) {
+            record_unplaced_tasks(round, {id, occurrence, step, 0}, spec, tasks);
+        }
         return;
     }
     std::vector<std::pair<server_id, std::uint32_t>> tasks_by_server;
