--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -112,11 +112,11 @@
         self.settings = fleet.folder / f"{self.name}.json"
         self.log = open(fleet.folder / f"{self.name}.log", "ab")
         self.process = None
-        self.peer_hosts = {}
+        self.peer_ip = ip  # where it listens for the other instances; behind a relay in a PeerNetwork
 
     def write_settings(self, first_start):
         fleet = self.fleet
-        listen = {"peers": f"{self.ip}:{fleet.peer_port}"}
+        listen = {"peers": f"{self.peer_ip}:{fleet.peer_port}"}
         if self.scheduler:
             listen["control"] = f"{self.ip}:{fleet.control_port}"
         else:
@@ -167,6 +167,66 @@
         return f"{self.ip}:{self.fleet.ready_port}"
 
 
+class PeerNetwork:
+    """The network between the schedulers: each one's peer address is a relay here, in front of the address at which
+    it listens. A cut link holds all bytes back, as a partition does; those that the sender has not withdrawn by a
+    reset arrive when the link heals, also after the sender has closed its end."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.cut_ip = None
+        self.healed = asyncio.Event()
+        self.healed.set()
+
+    async def start(self):
+        for s in self.fleet.schedulers:
+            await asyncio.start_server(lambda r, w, to=s: self.serve(r, w, to), s.ip, self.fleet.peer_port)
+
+    def cut(self, instance):
+        """Cuts a scheduler off from the other schedulers and the entries."""
+        self.fleet.record(f"{instance.name} is cut off from the other schedulers")
+        self.cut_ip = instance.ip
+        self.healed.clear()
+
+    def heal(self):
+        self.fleet.record("the cut heals")
+        self.cut_ip = None
+        self.healed.set()
+
+    async def pass_when_open(self, ends):
+        while self.cut_ip in ends:
+            await self.healed.wait()
+
+    async def serve(self, reader, writer, to):
+        """Relays one connection; its first bytes name the instance that opened it."""
+        other = None
+        try:
+            first = await reader.read(65536)
+            names = [i for i in self.fleet.schedulers + self.fleet.entries if i.ip.encode() in first]
+            ends = {to.ip} | {i.ip for i in names}
+            await self.pass_when_open(ends)
+            back, other = await asyncio.open_connection(to.peer_ip, self.fleet.peer_port)
+            other.write(first)
+            await asyncio.gather(self.pump(reader, other, ends), self.pump(back, writer, ends))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for w in (writer, other):
+                if w is not None:
+                    w.close()
+
+    async def pump(self, reader, writer, ends):
+        while True:
+            await self.pass_when_open(ends)
+            data = await reader.read(65536)
+            await self.pass_when_open(ends)
+            if not data:
+                break
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
 class Worker:
     """A backend worker. `crash` ends its life without a word; `live` begins the next one at the same address."""
 
@@ -351,7 +411,7 @@
 class Fleet:
     """A small deployment: three schedulers and two entries over three zones, and workers."""
 
-    def __init__(self, case_folder, entries=2):
+    def __init__(self, case_folder, entries=2, relayed_peers=False):
         self.record = Record(case_folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.tag = f"{random.randrange(16**6):06x}"
@@ -364,6 +424,10 @@
         self.worker_port = common_free_port([f"{self.net}.{100 + i}" for i in range(30)])
         self.schedulers = [Instance(self, ips[i], ZONES[i], True) for i in range(3)]
         self.entries = [Instance(self, ips[3 + i], ZONES[i % 3], False) for i in range(entries)]
+        self.network = PeerNetwork(self) if relayed_peers else None
+        if relayed_peers:
+            for s in self.schedulers:
+                s.peer_ip = f"{self.net}.{200 + int(s.ip.rsplit('.', 1)[1])}"
         self.workers = []
         self.jobs = {}    # id -> body of the submission
         self.starts = []  # (time, worker, task, attempt)
@@ -393,6 +457,8 @@
     async def start(self):
         if not PROGRAM.exists():
             raise RuntimeError(f"{PROGRAM} is missing: build first")
+        if self.network:
+            await self.network.start()
         for i in self.schedulers + self.entries:
             i.start(first_start=True)
         for _ in range(200):
@@ -405,6 +471,16 @@
         for w in self.workers:
             await w.live()
 
+    async def leader(self):
+        """The scheduler that workers are told to report to."""
+        for _ in range(100):
+            targets = [w.target for w in self.workers if w.alive and w.target]
+            found = [s for s in self.schedulers if s.control in targets]
+            if len(set(targets)) == 1 and found:
+                return found[0]
+            await asyncio.sleep(0.1)
+        raise RuntimeError("no leader is known")
+
     def close(self):
         for i in self.schedulers + self.entries:
             i.end()
