--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -228,7 +228,8 @@
 
 
 class Worker:
-    """A backend worker. `crash` ends its life without a word; `live` begins the next one at the same address."""
+    """A backend worker. `crash` ends its life without a word; `live` begins the next one at the same address. With
+    `dark` its machine has no power: connections stay silent until it lives again."""
 
     def __init__(self, fleet, number, pool, zone, cpu=64_000, labels=None, same_id=False):
         self.fleet, self.number, self.pool, self.zone, self.cpu = fleet, number, pool, zone, cpu
@@ -243,7 +244,7 @@
         self.tasks = []
         self.connections = set()
         self.target = None
-        self.refuses_room = False
+        self.dark = False
 
     def __str__(self):
         return f"{self.id} ({self.pool} in {self.zone} at {self.ip}:{self.port})"
@@ -265,26 +266,37 @@
         self.highest = {}  # task -> highest attempt stopped or ended here
         self.next_end = 1
         self.changed = asyncio.Event()
+        if self.dark:
+            self.dark = False
+            self.end_connections()
         self.alive = True
         self.target = None
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.fleet.record(f"worker {self} lives, born {self.born}")
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.work())]
 
-    async def crash(self):
-        self.fleet.record(f"worker {self} crashes; runs {sorted((t, r[0]) for t, r in self.runs.items())}")
+    async def crash(self, dark=False):
+        self.fleet.record(f"worker {self} {'loses power' if dark else 'crashes'}; "
+                          f"runs {sorted((t, r[0]) for t, r in self.runs.items())}")
         for task, run in self.runs.items():
             self.fleet.on_end(self, task, run[0], "gone")
         self.alive = False
         self.runs = {}
-        self.server.close()
         for t in self.tasks:
             t.cancel()
+        self.dark = dark
+        if not dark:
+            self.end_connections()
+
+    def end_connections(self):
+        self.server.close()
         for w in list(self.connections):
             w.transport.abort()
         self.connections.clear()
 
     async def beat(self):
+        await self.report()
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_MS / 1000))  # the workers report at different times
         while True:
             await self.report()
             await asyncio.sleep(HEARTBEAT_MS / 1000)
@@ -328,10 +340,15 @@
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
-            while self.alive:
+            life = self.lives
+            while life == self.lives:
                 first, headers, body = await read_message(reader)
+                while self.dark:  # ends with the connection
+                    await asyncio.sleep(3600)
                 method, path, _ = first.split()
                 status, out = await self.handle(method, path, headers, body)
+                while self.dark:
+                    await asyncio.sleep(3600)
                 text = json.dumps(out).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}"
                              "\r\n\r\n".encode() + text)
