--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -565,7 +565,8 @@
 
 def run(case_folder, play, **options):
     """Plays a case and exits with its result: play(fleet) returns a text if the rule was broken, or None."""
-    fleet = None
+    fleet, code = None, 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes below
     try:
         fleet = Fleet(case_folder, **options)
         broken = asyncio.run(asyncio.wait_for(play(fleet), 112))
@@ -576,7 +577,6 @@
         print(f"the case could not run: {fault!r}")
         if fleet:
             fleet.record(f"the case could not run: {fault!r}")
-        code = 2
     finally:
         if fleet:
             fleet.close()
