--- a/review/8/case.py
+++ b/review/8/case.py
@@ -37,7 +37,10 @@
     task = next(iter(worker.runs), None)
     if task is None:
         raise RuntimeError("no task runs on the worker's second life")
-    await worker.crash(dark=True)  # for good; with TROUBLE=0 it is its only crash
+    if not standins.TROUBLE:
+        await asyncio.sleep(WATCH_S / 2)
+        return None if fleet.running(task) == [worker] else f"LOST: {task} does not run"
+    await worker.crash(dark=True)  # for good
     lost_at = fleet.record.now()
     restarted_at = None
     while restarted_at is None and fleet.record.now() - lost_at < WATCH_S:
--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -343,10 +343,15 @@
             life = self.lives
             while life == self.lives:
                 first, headers, body = await read_message(reader)
+                method, path, _ = first.split()
+                if self.dark:
+                    self.fleet.record(f"a call for {self} stays without an answer, it has no power: {path} "
+                                      f"{body.decode()[:200]}")
                 while self.dark:  # ends with the connection
                     await asyncio.sleep(3600)
-                method, path, _ = first.split()
                 status, out = await self.handle(method, path, headers, body)
+                if path != "/hold" or status != 200:
+                    self.fleet.record(f"worker {self} gets {path} {body.decode()[:200]}: {status} {json.dumps(out)}")
                 while self.dark:
                     await asyncio.sleep(3600)
                 text = json.dumps(out).encode()
