--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -47,6 +47,16 @@
     double reads_per_s{1};
 };
 
+/** Optional scheduling features. All are off unless the settings enable them. */
+struct scheduling_options {
+    /** Reserves capacity that running tasks will free for large waiting tasks. */
+    bool reserve_capacity{false};
+    /** Sizes pools by a forecast of their demand instead of by their initial size. */
+    bool forecast_demand{false};
+    /** Refuses jobs whose result is predicted to come too late to be of any use. */
+    bool refuse_expired{false};
+};
+
 struct job_service_settings {
     job_role role{job_role::entry};
     instance_id id;
@@ -69,6 +79,7 @@
     std::string cluster_secret;
     machine_service machines;
     job_bounds bounds;
+    scheduling_options scheduling;
     log::level log_level{log::level::info};
 };
 
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -80,6 +80,20 @@
     reader.finish();
 }
 
+void read_scheduling(json::object_reader& top, scheduling_options& out,
+                     json::field_errors& field_errors)
+{
+    const json::value_type* found = top.find("scheduling");
+    if (found == nullptr) {
+        return;
+    }
+    json::object_reader reader{*found, "scheduling", field_errors};
+    out.reserve_capacity = reader.flag("reserve_capacity", out.reserve_capacity);
+    out.forecast_demand = reader.flag("forecast_demand", out.forecast_demand);
+    out.refuse_expired = reader.flag("refuse_expired", out.refuse_expired);
+    reader.finish();
+}
+
 void read_seeds(json::object_reader& top, job_service_settings& out)
 {
     for (const std::string& text : top.texts("seeds")) {
@@ -129,6 +143,7 @@
     out.cluster_secret = top.text("cluster_secret", "");
     read_machines(top, out.machines, field_errors);
     read_bounds(top, out.bounds, field_errors);
+    read_scheduling(top, out.scheduling, field_errors);
     const std::string level = top.text("log_level", "info");
     if (!log::parse_level(level, out.log_level)) {
         top.report("log_level", "must be debug, info, warning or error");
