Pools: size them by a forecast of their demand (scheduling.forecast_demand)

Machines came too late for a burst and stayed too long after it: the target was the present demand or an arrival rate that overestimated what jobs used by a factor of three. The forecast extrapolates the rise of both over the time of a move and takes the lower one; machines return to standby after 1.15 s without tasks. Off unless the settings enable it.

--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -26,12 +26,33 @@
 /** Unanswered moves are bounded to what the machine service accepts in this time: they queue for a
  * few connections, and one that waits for a second is given up. */
 constexpr double max_unanswered_moves_s = 0.2;
+/** Time until the server of a machine that has moved is known and polled. */
+constexpr milliseconds server_start_time{100};
+/** Idle time after which a machine returns to standby if the demand is forecast. The return costs
+ * one more move, and the platform's price of a move is that of 1.15 s of a machine in a pool. */
+constexpr milliseconds forecast_break_even_time{1150};
+
+scheduler::pool_planner make_planner(const settings::scheduling_options& options)
+{
+    scheduler::pool_policy policy;
+    if (options.forecast_demand) {
+        policy.break_even_time = forecast_break_even_time;
+    }
+    return scheduler::pool_planner{policy};
+}
+
+scheduler::demand_forecast make_forecast(const settings::job_bounds& bounds)
+{
+    return scheduler::demand_forecast{milliseconds{bounds.move_ms} + server_start_time};
+}
 
 } // namespace
 
 machine_driver::machine_driver(core_context& shared, run_driver& driver,
                                dispatcher& task_dispatcher)
     : context_{shared}, driver_{driver}, dispatcher_{task_dispatcher},
+      planner_{make_planner(shared.settings.scheduling)}, forecast_{make_forecast(
+                                                              shared.settings.bounds)},
       order_budget_{shared.settings.machines.orders_per_s},
       read_budget_{shared.settings.machines.reads_per_s}
 {
@@ -73,7 +94,8 @@
     list_refresh_needed_ = true;
     list_read_started_ = mono_time{};
     next_page_.reset();
-    planner_ = scheduler::pool_planner{};
+    planner_ = make_planner(context_.settings.scheduling);
+    forecast_ = make_forecast(context_.settings.bounds);
 }
 
 void machine_driver::on_state_restored()
@@ -312,6 +334,21 @@
     return out;
 }
 
+void machine_driver::apply_forecast(std::vector<scheduler::pool_need>& needs, mono_time now)
+{
+    const auto& loads = dispatcher_.loads();
+    for (scheduler::pool_need& need : needs) {
+        const auto load = loads.find(need.pool);
+        if (need.standby || load == loads.end()) {
+            continue;
+        }
+        const pool_load& l = load->second;
+        need.demand_cpu = forecast_.expected_cpu(
+            need.pool, {need.demand_cpu, l.arrival_cpu, l.long_running_cpu}, now);
+        need.arrival_cpu = 0;
+    }
+}
+
 std::vector<scheduler::movable_machine> machine_driver::movable_machines() const
 {
     std::vector<scheduler::movable_machine> out;
@@ -357,7 +394,11 @@
         }
         at = arrived || unknown ? orders_.erase(at) : std::next(at);
     }
-    const auto moves = planner_.plan(pool_needs(), movable_machines(), available_moves(), now);
+    std::vector<scheduler::pool_need> needs = pool_needs();
+    if (context_.settings.scheduling.forecast_demand) {
+        apply_forecast(needs, now);
+    }
+    const auto moves = planner_.plan(needs, movable_machines(), available_moves(), now);
     for (const scheduler::pool_move& move : moves) {
         if (!order_budget_.try_acquire(now)) {
             context_.counters.count("machine_orders_put_off");
--- a/src/fleet/machine_driver.h
+++ b/src/fleet/machine_driver.h
@@ -12,6 +12,7 @@
 #include "token_bucket.h"
 
 #include "fescuestream/base/log_limiter.h"
+#include "fescuestream/scheduler/demand_forecast.h"
 #include "fescuestream/scheduler/maintenance_plan.h"
 #include "fescuestream/scheduler/pool_plan.h"
 
@@ -110,13 +111,18 @@
     void propose_move(const scheduler::pool_move& move);
     /** @return how many moves may be ordered now. */
     std::size_t available_moves();
+    /** @return the demand and the capacity of the pools now. */
     std::vector<scheduler::pool_need> pool_needs() const;
+    /** Replaces the demand by the forecast for the time at which a machine ordered now takes tasks.
+     */
+    void apply_forecast(std::vector<scheduler::pool_need>& needs, mono_time now);
     std::vector<scheduler::movable_machine> movable_machines() const;
 
     core_context& context_;
     run_driver& driver_;
     dispatcher& dispatcher_;
     scheduler::pool_planner planner_;
+    scheduler::demand_forecast forecast_;
     std::map<std::string, machine_entry> machines_;
     std::map<std::string, machine_entry> page_machines_;
     /** Servers of machines_. */
