--- /dev/null
+++ b/include/fescuestream/http/request_limits.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/**
+ * @file
+ * Limits on what the requests of one listening port may hold.
+ */
+
+#include "fescuestream/base/ids.h"
+
+#include <cstddef>
+
+namespace fescue::http {
+
+/** The defaults exceed what callers within the platform's documented limits need: bodies of 256 KiB
+ * that pause for less than 15 s. */
+struct request_limits {
+    /** Larger bodies are rejected with status 413. */
+    std::size_t max_body_bytes{8U << 20U};
+    /** Memory of the bodies of all exchanges that have not ended, in bytes. A body may exist three
+     * times in a process, and the smallest instances have 160 MB. */
+    std::size_t max_held_body_bytes{32U << 20U};
+    /** An unfinished body that receives nothing for this long is dropped. */
+    milliseconds body_stall_time{15'000};
+    std::size_t max_connections{8192};
+};
+
+/** @return the limits with max_connections reduced to what the process's descriptor limit allows
+ * beside its files and its connections to other processes. */
+request_limits fit_descriptors(request_limits limits);
+
+} // namespace fescue::http
--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -7,6 +7,8 @@
 
 #include "fescuestream/base/error.h"
 #include "fescuestream/base/loop.h"
+#include "fescuestream/base/metrics.h"
+#include "fescuestream/http/request_limits.h"
 
 #include <cstdint>
 #include <functional>
@@ -72,14 +74,16 @@
     /** Invoked with each complete request; respond() sends the response, now or later. */
     using handler = std::function<void(exchange_id, request&&)>;
 
-    /** Maximum size of a request body in bytes; larger ones are rejected with status 413. */
-    static constexpr std::size_t max_body_bytes = 8U << 20U;
-
     server(event_loop& loop, handler on_request);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    /** Sets the limits of this port; call it before listen(). */
+    void set_limits(const request_limits& limits);
+    /** Counts rejected requests, and reports the memory that bodies hold. @param counters must
+     * outlive the server. */
+    void report_to(metrics& counters);
     /** Sets the headers whose values are copied to request::kept; call it before listen(). */
     void capture_headers(std::vector<std::string> names);
     /** Closes each connection after its next response, so that clients reconnect elsewhere. */
--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -80,6 +80,7 @@
     machine_service machines;
     job_bounds bounds;
     scheduling_options scheduling;
+    http::request_limits request_limits;
     log::level log_level{log::level::info};
 };
 
--- a/include/fescuestream/settings/settings.h
+++ b/include/fescuestream/settings/settings.h
@@ -44,6 +44,7 @@
     std::string operator_token;
     std::string server_token;
     http::tls_identity tls;
+    http::request_limits request_limits;
     log::level log_level{log::level::info};
 };
 
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -105,6 +105,10 @@
             std::make_unique<http::server>(loop, [this](http::exchange_id id, http::request&& in) {
                 handle_readiness_request(id, in);
             });
+        for (http::server* server : {caller_server.get(), readiness_server.get()}) {
+            server->set_limits(settings.request_limits);
+            server->report_to(counters);
+        }
         loop.on_iteration_end([this] { peers->flush(); });
         ticker = loop.every(housekeeping_period, [this] { housekeep(); });
         // The callers' port last, so that no caller connects to an instance that fails to start.
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -185,6 +185,8 @@
             std::make_unique<http::server>(loop, [this](http::exchange_id id, http::request&& in) {
                 handle_control_request(id, std::move(in));
             });
+        control_server->set_limits(settings.request_limits);
+        control_server->report_to(counters);
         return control_server->listen(settings.control, {});
     }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,11 +1,14 @@
 #include "fescuestream/http/server.h"
 
 #include "fescuestream/base/log.h"
+#include "fescuestream/base/log_limiter.h"
+#include "fescuestream/http/held_bodies.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <charconv>
@@ -16,11 +19,13 @@
 
 namespace {
 
-constexpr unsigned max_connections = 8192;
 constexpr milliseconds daemon_poll_period{250};
 /** A request that was sent before the listening socket closed arrives within this time. */
 constexpr milliseconds drain_quiet_time{100};
 constexpr std::string_view bearer_prefix = "Bearer ";
+/** Unfinished requests are dropped while less than this part of the connections is left, so that
+ * new callers find one. */
+constexpr std::size_t spare_connections_divisor = 16;
 
 struct exchange {
     exchange_id id{0};
@@ -33,7 +38,12 @@
     mono_time began_at{};
     bool dispatched{false};
     bool suspended{false};
-    bool too_large{false};
+    /** The request was dropped; its connection is being closed. */
+    bool dropped{false};
+    /** Length that the request announces for its body; 0: none. */
+    std::size_t announced_bytes{0};
+    /** Part of the body that was received after the request had been rejected. */
+    std::size_t discarded_bytes{0};
 };
 
 std::optional<std::string> find_header(MHD_Connection* connection, const char* name)
@@ -45,6 +55,32 @@
     return std::string{text};
 }
 
+/** @return the length that the request announces for its body; 0 if it announces none. */
+std::size_t announced_length(MHD_Connection* connection)
+{
+    const auto text = find_header(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    std::size_t length = 0;
+    if (text) {
+        // The library has checked the syntax; it rejects lengths out of range.
+        std::from_chars(text->data(), text->data() + text->size(), length);
+    }
+    return length;
+}
+
+response make_too_large()
+{
+    return {413, "application/json", R"({"error":"too_large","ran":"no"})", {{"Fescue-Ran", "no"}}};
+}
+
+/** The response to a request whose body finds no memory. */
+response make_no_memory()
+{
+    return {503,
+            "application/json",
+            R"({"error":"not_serving","ran":"no"})",
+            {{"Fescue-Ran", "no"}, {"Retry-After", "1"}}};
+}
+
 } // namespace
 
 std::optional<std::string> request::bearer() const
@@ -85,6 +121,13 @@
     timer_handle poll_timer;
     exchange_id next_id{1};
     std::unordered_map<exchange_id, exchange*> open_exchanges;
+    /** Exchanges whose request has not been received whole. */
+    std::unordered_map<exchange_id, exchange*> receiving;
+    request_limits limits;
+    held_bodies held{request_limits{}.max_held_body_bytes};
+    std::size_t connections{0};
+    metrics* counters{nullptr};
+    log::limiter rejected_bodies;
     std::size_t unfinished_exchanges{0};
     /** Time of the last end of an exchange, or when the server stopped accepting. */
     mono_time last_activity{};
@@ -130,22 +173,136 @@
         for (const std::string& name : kept_header_names) {
             created->incoming.captured_headers.push_back(find_header(connection, name.c_str()));
         }
-        *context = created.release();
+        created->announced_bytes = announced_length(connection);
+        exchange& ex = *created.release();
+        *context = &ex;
         ++unfinished_exchanges;
+        held.begin(ex.id, loop.now());
+        receiving.emplace(ex.id, &ex);
+        if (ex.announced_bytes > limits.max_body_bytes) {
+            reject(ex, make_too_large(), "announced_too_large");
+            return queue_response(connection, *ex.reply);
+        }
         return MHD_YES;
     }
 
+    /** Rejects a request whose body has not been received whole, and frees what it holds. */
+    void reject(exchange& ex, response&& reply, const char* why)
+    {
+        ex.reply = std::move(reply);
+        release_body(ex);
+        record_rejection("body_refused", "bodies_refused", ex, why);
+    }
+
+    /** Drops a request that has not been received whole, and closes its connection: the library
+     * can't send a response before the end of a body. */
+    void drop(exchange& ex, const char* why)
+    {
+        ex.dropped = true;
+        release_body(ex);
+        receiving.erase(ex.id);
+        held.remove(ex.id);
+        const auto* info =
+            MHD_get_connection_info(ex.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        // The library reads the end of the stream and ends the exchange.
+        ::shutdown(info->connect_fd, SHUT_RDWR);
+        record_rejection("body_dropped", "bodies_dropped", ex, why);
+    }
+
+    void release_body(exchange& ex)
+    {
+        ex.incoming.body.clear();
+        ex.incoming.body.shrink_to_fit();
+        held.try_resize(ex.id, 0);
+    }
+
+    void record_rejection(const char* event, const char* counter, const exchange& ex,
+                          const char* why)
+    {
+        if (counters != nullptr) {
+            counters->count(counter);
+        }
+        const auto requests = rejected_bodies.admit(std::string{event} + ' ' + why, loop.now());
+        if (requests > 0) {
+            log::warning(event, {{"why", why},
+                                 {"request", ex.request_line},
+                                 {"announced_bytes", ex.announced_bytes},
+                                 {"held_bytes", held.bytes()},
+                                 {"connections", connections},
+                                 {"requests", requests}});
+        }
+    }
+
+    /** Makes room for more of the body. Drops other unfinished bodies if necessary.
+     * @return whether there is room. */
+    bool reserve_body(exchange& ex, std::size_t added)
+    {
+        std::string& body = ex.incoming.body;
+        const std::size_t needed = body.size() + added;
+        if (needed <= body.capacity()) {
+            return true;
+        }
+        const std::size_t capacity = std::max(needed, 2 * body.capacity());
+        while (!held.try_resize(ex.id, capacity)) {
+            const auto stalled = held.longest_stalled(ex.id, 1);
+            if (!stalled) {
+                return false;
+            }
+            drop(*receiving.at(*stalled), "memory");
+        }
+        body.reserve(capacity);
+        return true;
+    }
+
     MHD_Result append_body(exchange& ex, const char* data, std::size_t* size)
     {
-        if (ex.incoming.body.size() + *size > max_body_bytes) {
-            ex.too_large = true;
+        if (ex.dropped) {
+            return MHD_NO;
+        }
+        const std::size_t added = std::exchange(*size, 0);
+        if (ex.reply) {
+            // A response that is sent before the client has finished may be lost with a reset, so
+            // the rest of the body is discarded, up to another body of maximum size.
+            ex.discarded_bytes += added;
+            return ex.discarded_bytes > limits.max_body_bytes ? MHD_NO : MHD_YES;
+        }
+        held.record_progress(ex.id, loop.now());
+        if (ex.incoming.body.size() + added > limits.max_body_bytes) {
+            reject(ex, make_too_large(), "too_large");
+        } else if (!reserve_body(ex, added)) {
+            reject(ex, make_no_memory(), "memory");
         } else {
-            ex.incoming.body.append(data, *size);
+            ex.incoming.body.append(data, added);
         }
-        *size = 0;
         return MHD_YES;
     }
 
+    /** Drops the unfinished requests that have received nothing for too long. */
+    void drop_stalled()
+    {
+        while (const auto stalled = held.stalled_since(loop.now() - limits.body_stall_time)) {
+            drop(*receiving.at(*stalled), "stalled");
+        }
+        if (counters != nullptr) {
+            counters->gauge("held_body_bytes", static_cast<double>(held.bytes()));
+        }
+    }
+
+    void on_connection(MHD_ConnectionNotificationCode what)
+    {
+        if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+            --connections;
+            return;
+        }
+        ++connections;
+        const std::size_t spare = limits.max_connections / spare_connections_divisor + 1;
+        if (connections + spare > limits.max_connections) {
+            if (const auto stalled = held.longest_stalled(0, 0)) {
+                drop(*receiving.at(*stalled), "connections");
+            }
+        }
+    }
+
     MHD_Result queue_response(MHD_Connection* connection, response& out) const
     {
         MHD_Response* message = MHD_create_response_from_buffer(out.body.size(), out.body.data(),
@@ -165,9 +322,11 @@
 
     MHD_Result complete_request(MHD_Connection* connection, exchange& ex)
     {
-        if (ex.too_large && !ex.reply) {
-            ex.reply = response{413, "application/json", R"({"error":"too_large","ran":"no"})", {}};
-            ex.reply->headers.push_back({"Fescue-Ran", "no"});
+        if (ex.dropped) {
+            return MHD_NO;
+        }
+        if (receiving.erase(ex.id) > 0) {
+            held.complete(ex.id);
         }
         if (!ex.dispatched && !ex.reply) {
             ex.dispatched = true;
@@ -197,6 +356,12 @@
         return self.complete_request(connection, ex);
     }
 
+    static void on_connection_changed(void* user_data, MHD_Connection* /*connection*/,
+                                      void** /*context*/, MHD_ConnectionNotificationCode what)
+    {
+        static_cast<impl*>(user_data)->on_connection(what);
+    }
+
     static void on_request_completed(void* user_data, MHD_Connection* /*connection*/,
                                      void** context, MHD_RequestTerminationCode reason)
     {
@@ -207,6 +372,8 @@
         }
         auto& self = *static_cast<impl*>(user_data);
         self.open_exchanges.erase(ex->id);
+        self.receiving.erase(ex->id);
+        self.held.remove(ex->id);
         --self.unfinished_exchanges;
         self.last_activity = self.loop.now();
         if (reason == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
@@ -252,11 +419,15 @@
     impl_->tls = tls;
     std::vector<MHD_OptionItem> options{
         {MHD_OPTION_SOCK_ADDR, 0, &socket_address},
-        {MHD_OPTION_CONNECTION_LIMIT, max_connections, nullptr},
+        {MHD_OPTION_CONNECTION_LIMIT, static_cast<std::intptr_t>(impl_->limits.max_connections),
+         nullptr},
         {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
         {MHD_OPTION_NOTIFY_COMPLETED,
          reinterpret_cast<std::intptr_t>(&impl::on_request_completed), // NOLINT
          impl_.get()},
+        {MHD_OPTION_NOTIFY_CONNECTION,
+         reinterpret_cast<std::intptr_t>(&impl::on_connection_changed), // NOLINT
+         impl_.get()},
     };
     unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     if (!tls.empty()) {
@@ -275,7 +446,10 @@
     auto* self = impl_.get();
     impl_->io = impl_->loop.watch(info->epoll_fd, {true, false},
                                   [self](io_interest /*ready*/) { self->run_daemon(); });
-    impl_->poll_timer = impl_->loop.every(daemon_poll_period, [self] { self->run_daemon(); });
+    impl_->poll_timer = impl_->loop.every(daemon_poll_period, [self] {
+        self->drop_stalled();
+        self->run_daemon();
+    });
     // The loop keeps the callback when the server has been destroyed.
     impl_->loop.on_iteration_end([self, exists = std::weak_ptr{impl_->exists}] {
         if (!exists.expired() && self->run_pending && self->daemon != nullptr) {
@@ -301,6 +475,17 @@
     }
 }
 
+void server::set_limits(const request_limits& limits)
+{
+    impl_->limits = fit_descriptors(limits);
+    impl_->held = held_bodies{limits.max_held_body_bytes};
+}
+
+void server::report_to(metrics& counters)
+{
+    impl_->counters = &counters;
+}
+
 void server::capture_headers(std::vector<std::string> names)
 {
     impl_->kept_header_names = std::move(names);
@@ -333,7 +518,7 @@
     // MHD_run() accepts a bounded number.
     const auto* info = MHD_get_daemon_info(impl_->daemon, MHD_DAEMON_INFO_LISTEN_FD);
     pollfd waiting{info->listen_fd, POLLIN, 0};
-    for (unsigned i = 0; i < max_connections && poll(&waiting, 1, 0) > 0; ++i) {
+    for (unsigned i = 0; i < impl_->limits.max_connections && poll(&waiting, 1, 0) > 0; ++i) {
         impl_->run_daemon();
     }
     const MHD_socket listener = MHD_quiesce_daemon(impl_->daemon);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -170,6 +170,10 @@
             std::make_unique<http::server>(loop, [this](http::exchange_id id, http::request&& in) {
                 control_handler->handle_request(id, std::move(in));
             });
+        for (http::server* server : {caller_server.get(), control_server.get()}) {
+            server->set_limits(settings.request_limits);
+            server->report_to(counters);
+        }
         caller_ingress->set_server(*caller_server);
         control_handler->set_server(*control_server);
         std::set<instance_id> peers;
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -1,6 +1,7 @@
 #include "fescuestream/settings/job_service.h"
 
 #include "endpoint_field.h"
+#include "request_limits_fields.h"
 
 #include <algorithm>
 
@@ -144,6 +145,7 @@
     read_machines(top, out.machines, field_errors);
     read_bounds(top, out.bounds, field_errors);
     read_scheduling(top, out.scheduling, field_errors);
+    out.request_limits = read_request_limits(top, field_errors);
     const std::string level = top.text("log_level", "info");
     if (!log::parse_level(level, out.log_level)) {
         top.report("log_level", "must be debug, info, warning or error");
--- /dev/null
+++ b/src/settings/request_limits_fields.cpp
@@ -0,0 +1,37 @@
+#include "request_limits_fields.h"
+
+namespace fescue::settings {
+
+namespace {
+
+constexpr std::int64_t max_bytes = std::int64_t{1} << 40U;
+constexpr std::int64_t max_time_ms = 3'600'000;
+constexpr std::int64_t max_connections = 1'000'000;
+
+} // namespace
+
+http::request_limits read_request_limits(json::object_reader& top, json::field_errors& field_errors)
+{
+    http::request_limits out;
+    const json::value_type* found = top.find("http");
+    if (found == nullptr) {
+        return out;
+    }
+    json::object_reader reader{*found, "http", field_errors};
+    const auto size = [&](const char* field, std::size_t fallback, std::int64_t max) {
+        return static_cast<std::size_t>(
+            reader.number(field, {1, max}, static_cast<std::int64_t>(fallback)));
+    };
+    out.max_body_bytes = size("max_body_bytes", out.max_body_bytes, max_bytes);
+    out.max_held_body_bytes = size("max_held_body_bytes", out.max_held_body_bytes, max_bytes);
+    out.max_connections = size("max_connections", out.max_connections, max_connections);
+    out.body_stall_time =
+        milliseconds{reader.number("body_stall_ms", {1, max_time_ms}, out.body_stall_time.count())};
+    if (out.max_held_body_bytes < out.max_body_bytes) {
+        reader.report("max_held_body_bytes", "must not be less than max_body_bytes");
+    }
+    reader.finish();
+    return out;
+}
+
+} // namespace fescue::settings
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,6 +1,7 @@
 #include "fescuestream/settings/settings.h"
 
 #include "endpoint_field.h"
+#include "request_limits_fields.h"
 
 #include <sys/stat.h>
 
@@ -171,6 +172,7 @@
     out.server_token = read_secret_field(top, "server_token_file", field_errors);
     read_tls(top, out, field_errors);
     read_log_level(top, out);
+    out.request_limits = read_request_limits(top, field_errors);
     top.finish();
     check_exposure(out, field_errors);
     check_peers(out, field_errors);
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -206,12 +206,12 @@
     REQUIRE_FALSE(s.listen(address, {}));
     client_request request;
     request.url = "http://127.0.0.1:19999/";
-    request.body.assign(server::max_body_bytes + 1, 'x');
+    request.body.assign(request_limits{}.max_body_bytes + 1, 'x');
     CHECK(send_and_wait(loop, c, client_request{request}).status == 413);
     CHECK(received_bytes == 0);
     request.body.pop_back();
     CHECK(send_and_wait(loop, c, std::move(request)).status == 200);
-    CHECK(received_bytes == server::max_body_bytes);
+    CHECK(received_bytes == request_limits{}.max_body_bytes);
 }
 
 TEST_CASE(
