Callers: bound the memory of jobs that have not ended

Complete documents of 256 KB took schedulers down: 48 jobs of 16,000 steps each made every scheduler take 800 MB.

--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -77,6 +77,9 @@
     std::size_t tolerated_disk_losses{1};
     std::string data_folder;
     std::string cluster_secret;
+    /** Maximum memory of the jobs that have not ended, in bytes. The smallest schedulers have
+     * 256 MB, and a job may exist three times in a process while a snapshot is written. */
+    std::size_t max_job_bytes{64U << 20U};
     machine_service machines;
     job_bounds bounds;
     scheduling_options scheduling;
--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -21,6 +21,8 @@
 constexpr int gateway_timeout = 504;
 /** Timeout of a proposal to the job log; callers wait a few seconds. */
 constexpr milliseconds proposal_timeout{2000};
+/** Retry-After of a job for which there is no memory; most jobs end within seconds. */
+constexpr std::int64_t memory_retry_ms = 2000;
 
 /** @return the properties of a job that affect its scheduling, for the log. */
 std::string job_features(const jobs::job_spec& spec)
@@ -115,6 +117,10 @@
         reply(error_reply(bad_request, "bad_request", error_of(spec).detail));
         return;
     }
+    if (auto refusal = refuse_for_memory(value(spec), job_id_text)) {
+        reply(std::move(*refusal));
+        return;
+    }
     const mono_time received_at = context_.now();
     jobs::submit_job cmd{*id, queue.id, queue.terms, account, std::move(value(spec)), wall_now()};
     log::info("job_accepting", {{"job", job_id_text},
@@ -138,6 +144,28 @@
         });
 }
 
+std::optional<wire::forwarded_reply> caller_api::refuse_for_memory(const jobs::job_spec& spec,
+                                                                   const std::string& job_id_text)
+{
+    const memory_verdict verdict = memory_.admit(spec, context_.state(), context_.now());
+    if (verdict == memory_verdict::fits) {
+        return std::nullopt;
+    }
+    context_.counters.count("jobs_refused_for_memory");
+    log::info("job_refused", {{"job", job_id_text},
+                              {"why", "memory"},
+                              {"job_bytes", estimate_memory(spec)},
+                              {"held_bytes", memory_.bytes()},
+                              {"max_bytes", context_.settings.max_job_bytes}});
+    if (verdict == memory_verdict::job_too_large) {
+        return error_reply(bad_request, "bad_request", "the job has too many steps or tasks");
+    }
+    wire::forwarded_reply refusal =
+        error_reply(service_unavailable, "not_serving", "too many jobs have not ended");
+    refusal.retry_after_ms = memory_retry_ms;
+    return refusal;
+}
+
 wire::forwarded_reply caller_api::acknowledge(const team_id& account, const jobs::queue& queue,
                                               const jobs::job_id& id) const
 {
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t max_duration_ms = 3'600'000;
 constexpr std::int64_t max_tolerated_disk_losses = 100;
+constexpr std::int64_t max_job_bytes = std::int64_t{1} << 40U;
 constexpr double max_rate_per_s = 100'000;
 
 void read_addresses(json::object_reader& top, job_service_settings& out,
@@ -142,6 +143,8 @@
                                             static_cast<std::int64_t>(out.tolerated_disk_losses)));
     out.data_folder = top.text("data_folder", "");
     out.cluster_secret = top.text("cluster_secret", "");
+    out.max_job_bytes = static_cast<std::size_t>(top.number(
+        "max_job_bytes", {1, max_job_bytes}, static_cast<std::int64_t>(out.max_job_bytes)));
     read_machines(top, out.machines, field_errors);
     read_bounds(top, out.bounds, field_errors);
     read_scheduling(top, out.scheduling, field_errors);
--- a/tests/e2e/test_body_crowds.py
+++ b/tests/e2e/test_body_crowds.py
@@ -27,6 +27,9 @@
 LIMITS = {"max_body_bytes": 512 * KIB, "max_held_body_bytes": 4 * MIB, "body_stall_ms": 600000, "max_connections": 64}
 CROWD = 120
 OVERSIZED_CROWD = 40
+JOB_CROWD = 48
+# Memory of the jobs that have not ended, for schedulers.
+MAX_JOB_BYTES = 4 * MIB
 # A process uses less than 16 MiB by itself and holds each counted byte three times at most: in the request, in the frame
 # for the leader, and while a buffer grows. A connection takes up to 32 KiB.
 MEMORY_BOUND = 16 * MIB + 3 * LIMITS["max_held_body_bytes"] + CROWD * 32 * KIB
@@ -120,7 +123,8 @@
 
     def start(self, name, settings):
         file = self.folder / f"{name}.json"
-        file.write_text(json.dumps(settings | {"http": LIMITS}))
+        limits = {"http": LIMITS} | ({"max_job_bytes": MAX_JOB_BYTES} if "data_folder" in settings else {})
+        file.write_text(json.dumps(settings | limits))
         check = subprocess.run([BUILD / "fescued", "--config", file, "--check"], capture_output=True, check=False)
         if check.returncode != 0:
             # Versions without the limits don't know the field; they are to fail by what they hold.
@@ -205,6 +209,29 @@
         self.check_processes()
 
 
+    def check_whole_jobs(self, job):
+        """Complete jobs are accepted or refused, and what the schedulers store stays within their memory."""
+        self.start_job_service()
+        requests = [request_head("POST", f"/queue/{n + 16:016x}", f"Content-Length: {len(job)}") + job
+                    for n in range(JOB_CROWD)]
+        statuses = self.send_crowd(ENTRY, CALLER_PORT, requests).statuses()
+        wait_for("an ordinary request", lambda: self.submit(1) == 200)
+        self.check_processes()
+        self.assertTrue(set(statuses) <= {200, 400, 503, 504, None}, statuses)
+
+    def test_whole_jobs_with_a_large_payload(self):
+        text = "s" * (LEGAL_BODY - 200)
+        self.check_whole_jobs(JOB.replace(b'"s"', json.dumps(text).encode()))
+
+    def test_whole_jobs_with_thousands_of_steps(self):
+        steps = [{"count": 1}] * (LEGAL_BODY // 16)
+        self.check_whole_jobs(json.dumps({"spec": "s", "steps": steps}).encode())
+
+    def test_whole_jobs_with_thousands_of_tasks(self):
+        steps = [{"count": 20000, "cpu": 10 ** 9}]
+        self.check_whole_jobs(json.dumps({"spec": "s", "steps": steps}).encode())
+
+
 def add_tests():
     """One test for each way to send unfinished bodies, and each port that takes them."""
     ports = {"entry": ("POST", "/queue/00000000000000a1", BodyCrowds.check_entry_crowd),
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -210,3 +210,33 @@
     CHECK(leader.status_of("POST", "/open/1123456789abcdef") == ok_status);
     CHECK(leader.status_of("GET", "/open/2123456789abcdef", shop_key) == ok_status);
 }
+
+// Fails if small documents that describe many tasks can fill the memory of every scheduler.
+TEST_CASE("callers: jobs are refused while those that have not ended hold the maximum of memory")
+{
+    constexpr std::uint32_t tasks = 100;
+    jobs::job_spec spec;
+    spec.steps.resize(10);
+    for (jobs::step_spec& s : spec.steps) {
+        s.tasks = tasks;
+    }
+    const std::size_t bytes = estimate_memory(spec);
+    CHECK(bytes > 10 * tasks * sizeof(jobs::task));
+    jobs::state state;
+    job_memory memory{2 * bytes + bytes / 2};
+    const auto submit = [&](std::uint64_t id, mono_time now) {
+        const memory_verdict verdict = memory.admit(spec, state, now);
+        if (verdict == memory_verdict::fits) {
+            jobs::apply(state, jobs::submit_job{jobs::job_id{id}, {}, {}, {}, spec, 0});
+        }
+        return verdict;
+    };
+    CHECK(submit(1, mono_time{1h}) == memory_verdict::fits);
+    CHECK(submit(2, mono_time{1h}) == memory_verdict::fits);
+    CHECK(submit(3, mono_time{1h}) == memory_verdict::no_room);
+    CHECK(submit(3, mono_time{1h} + 1s) == memory_verdict::no_room);
+    jobs::apply(state, jobs::cancel_job{jobs::job_id{1}, 0});
+    CHECK(submit(3, mono_time{1h} + 2s) == memory_verdict::fits);
+    job_memory small{bytes - 1};
+    CHECK(small.admit(spec, state, mono_time{1h}) == memory_verdict::job_too_large);
+}
