--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -1,6 +1,7 @@
 #include "fescuestream/settings/job_service.h"
 
 #include "endpoint_field.h"
+#include "request_limits_fields.h"
 
 #include <algorithm>
 
@@ -10,6 +11,7 @@
 
 constexpr std::int64_t max_duration_ms = 3'600'000;
 constexpr std::int64_t max_tolerated_disk_losses = 100;
+constexpr std::int64_t max_job_bytes = std::int64_t{1} << 40U;
 constexpr double max_rate_per_s = 100'000;
 
 void read_addresses(json::object_reader& top, job_service_settings& out,
@@ -141,9 +143,12 @@
                                             static_cast<std::int64_t>(out.tolerated_disk_losses)));
     out.data_folder = top.text("data_folder", "");
     out.cluster_secret = top.text("cluster_secret", "");
+    out.max_job_bytes = static_cast<std::size_t>(top.number(
+        "max_job_bytes", {1, max_job_bytes}, static_cast<std::int64_t>(out.max_job_bytes)));
     read_machines(top, out.machines, field_errors);
     read_bounds(top, out.bounds, field_errors);
     read_scheduling(top, out.scheduling, field_errors);
+    out.request_limits = read_request_limits(top, field_errors);
     const std::string level = top.text("log_level", "info");
     if (!log::parse_level(level, out.log_level)) {
         top.report("log_level", "must be debug, info, warning or error");
