Placement: reserve capacity that is about to be freed for large tasks (scheduling.reserve_capacity)

Large tasks waited in pools that small tasks keep full: whatever an end frees goes to the next small task. The server on which an urgent large task fits earliest is now reserved, and others may fill it only if they end in time or fit beside. Off unless the settings enable it.

--- a/include/fescuestream/scheduler/placement.h
+++ b/include/fescuestream/scheduler/placement.h
@@ -61,6 +61,8 @@
 /** How strongly a task is suspected of crashing servers. */
 enum class suspicion : std::uint8_t { none, one_crash, several_crashes };
 
+class reservations;
+
 /** Placement inputs besides the step's own constraints. */
 struct placement_hints {
     /** Number of the step's tasks per server, to enforce max_per_server. */
@@ -80,6 +82,11 @@
     std::size_t max_suspect_jobs{0};
     /** The task has waited so long that the reservation of servers does not apply to it. */
     bool may_share_server{false};
+    /** Capacity that is reserved for more urgent tasks; may be null. */
+    const reservations* reserved{nullptr};
+    /** By when the task has ended in most cases, if it starts now. Used with reservations. */
+    milliseconds run_time{0};
+    mono_time now{};
 
     /** @return whether a task that is no suspect may use with these hints every server that it may
      * use with the other ones. */
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -91,7 +91,7 @@
             std::chrono::duration_cast<milliseconds>(context_.now() - last_round_);
         round_stats_.max_commit_time = std::max(round_stats_.max_commit_time, commit_time);
         for (const jobs::start_run& start : std::get<jobs::start_runs>(cmd).runs) {
-            started_runs_[start.run.task] = {start.run.attempt, start.server, context_.now()};
+            record_run_start(start);
         }
     } else if (const auto* ends = std::get_if<jobs::end_runs>(&cmd)) {
         record_run_ends(*ends);
@@ -114,6 +114,18 @@
     arrivals_.record_arrival(cmd.terms.pool, core_ms, context_.now());
 }
 
+void dispatcher::record_run_start(const jobs::start_run& start)
+{
+    const auto* spec = context_.state().find_step_spec(start.run.task);
+    double expected_ms = 0;
+    if (spec != nullptr && !spec->long_running) {
+        const auto& queue = context_.state().jobs.at(start.run.task.job).queue;
+        expected_ms = times_.expected_ms(queue, spec->estimate_ms);
+    }
+    started_runs_[start.run.task] = {start.run.attempt, start.server, context_.now(),
+                                     milliseconds{std::llround(expected_ms)}};
+}
+
 void dispatcher::record_run_ends(const jobs::end_runs& cmd)
 {
     const mono_time now = context_.now();
@@ -219,6 +231,7 @@
     log::info("scheduling_rounds", {{"rounds", round_stats_.rounds},
                                     {"starts", round_stats_.starts},
                                     {"bounded", round_stats_.bounded},
+                                    {"reservations", round_stats_.reservations},
                                     {"max_outstanding_orders", round_stats_.max_outstanding_orders},
                                     {"max_commit_ms", round_stats_.max_commit_time.count()},
                                     {"load_percent", std::lround(driver_.load() * percent)}});
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -14,6 +14,7 @@
 #include "fescuestream/scheduler/job_order.h"
 #include "fescuestream/scheduler/placement.h"
 #include "fescuestream/scheduler/pool_plan.h"
+#include "fescuestream/scheduler/reservations.h"
 #include "fescuestream/scheduler/run_times.h"
 #include "fescuestream/scheduler/search_rotation.h"
 #include "fescuestream/scheduler/server_health.h"
@@ -92,10 +93,19 @@
     void set_task_hints(const scheduling_round& round, const jobs::task_id& task,
                         const jobs::step_spec& spec, const jobs::crash_record* record,
                         scheduler::placement_hints& hints) const;
-    /** Counts the task as a run of the server. */
-    void record_placement(const jobs::task_id& task, const jobs::step_spec& spec,
-                          const scheduler::placement_hints& hints, scheduler::server_candidate& c);
+    /** Counts the task as a run of the server. @param server its index. */
+    void record_placement(scheduling_round& round, std::size_t server, const jobs::task_id& task,
+                          const jobs::step_spec& spec, const scheduler::placement_hints& hints,
+                          scheduler::server_candidate& c);
     /** Records the step's tasks from this index on that have waited for a server in vain. */
+    /** Reserves servers for tasks of the step that found none, if they are large and the job can
+     * still be in time. */
+    void reserve_for_tasks(scheduling_round& round, const jobs::step_spec& spec,
+                           const scheduler::placement_hints& hints, std::size_t tasks,
+                           std::span<const scheduler::server_candidate> servers);
+    /** @return the expected ends of the runs on the server. */
+    std::vector<scheduler::expected_end> expected_ends(const server_id& server,
+                                                       mono_time now) const;
     void record_unplaced_tasks(const scheduling_round& round, const jobs::task_id& first,
                                const jobs::step_spec& spec, const std::vector<jobs::task>& tasks);
     /** @return the task's record, or nullptr if no run of it was lost. */
@@ -129,6 +139,7 @@
     std::int64_t claim_within_cap(scheduling_round& round, const team_id& account,
                                   const jobs::resources& need, std::int64_t tasks) const;
     bool has_crash_records(const jobs::job_id& job) const;
+    void record_run_start(const jobs::start_run& start);
     void record_run_ends(const jobs::end_runs& cmd);
     void record_arrival(const jobs::submit_job& cmd);
 
@@ -142,6 +153,7 @@
         std::uint32_t attempt{0};
         server_id server;
         mono_time started_at{};
+        milliseconds expected_time{0};
     };
     std::unordered_map<jobs::task_id, started_run> started_runs_;
     /** Server of each task's last failed run; placement prefers others. */
@@ -153,6 +165,7 @@
         std::size_t starts{0};
         /** Rounds that reached the limit on starts. */
         std::size_t bounded{0};
+        std::size_t reservations{0};
         std::size_t max_outstanding_orders{0};
         /** Longest time from the start of a round until its starts were committed and applied. */
         milliseconds max_commit_time{0};
--- a/src/fleet/job_placement.cpp
+++ b/src/fleet/job_placement.cpp
@@ -3,6 +3,7 @@
 #include "scope_timer.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescue::fleet {
 
@@ -19,6 +20,12 @@
  * pass sooner, such as the wait after a refused start, are not worth a move. */
 constexpr milliseconds max_wait_before_move{1000};
 
+std::size_t count_waiting(std::span<const jobs::task> tasks)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(tasks, jobs::task_phase::waiting, &jobs::task::phase));
+}
+
 bool within_limits(const jobs::resources& used, const jobs::resources& cap)
 {
     const auto within_limit = [](std::int64_t amount, std::int64_t limit) {
@@ -104,7 +111,9 @@
     searches.begin_round();
     round.searches = &searches;
     round.failed_searches = {};
+    round.reservations = {};
     for (const queued_job& s : round.waiting.at(pool)) {
+        round.job = &s;
         if (round.batch.runs.size() >= round.max_starts || searches.plain.is_exhausted()) {
             return;
         }
@@ -166,6 +175,14 @@
         return chosen;
     }
     round.searches->plain.record_failure();
+    if (!round.reservations.empty()) {
+        // Other tasks may use the reserved servers if they are shorter.
+        scheduler::placement_hints unreserved = hints;
+        unreserved.reserved = nullptr;
+        if (scheduler::choose(servers, spec, unreserved)) {
+            return std::nullopt;
+        }
+    }
     // The members placed so far give their servers back if the gang can't be completed.
     if (!is_gang_begun) {
         // Mostly it makes no difference how long the task has waited; then jobs can be ruled out
@@ -195,10 +212,59 @@
     hints.may_share_server = may_share_server(task, spec, record, is_suspect, round.now);
 }
 
-void dispatcher::record_placement(const task_id& task, const jobs::step_spec& spec,
+std::vector<scheduler::expected_end> dispatcher::expected_ends(const server_id& server,
+                                                               mono_time now) const
+{
+    std::vector<scheduler::expected_end> out;
+    const auto view = driver_.servers().find(server);
+    if (view == driver_.servers().end()) {
+        return out;
+    }
+    for (const auto& [task, run] : view->second.runs) {
+        const auto started = started_runs_.find(task);
+        // The runs that an earlier leader started, and long-running tasks, are not expected to end.
+        if (run.long_running || started == started_runs_.end() ||
+            started->second.attempt != run.attempt) {
+            continue;
+        }
+        out.push_back(
+            {scheduler::predict_end(started->second.started_at, started->second.expected_time, now),
+             run.allocated});
+    }
+    return out;
+}
+
+void dispatcher::reserve_for_tasks(scheduling_round& round, const jobs::step_spec& spec,
+                                   const scheduler::placement_hints& hints, std::size_t tasks,
+                                   std::span<const server_candidate> servers)
+{
+    const bool in_time = scheduler::urgency_of(*round.job) <= scheduler::urgency::on_time;
+    if (!context_.settings.scheduling.reserve_capacity || !in_time || spec.long_running ||
+        spec.gang || hints.suspected != scheduler::suspicion::none || servers.empty() ||
+        !scheduler::reservations::is_large(spec.required_capacity(),
+                                           servers.front().server->capacity)) {
+        return;
+    }
+    const milliseconds slack{
+        std::llround(round.job->time_to_deadline_ms - round.job->critical_path_ms)};
+    const auto ends = [&](std::size_t server) {
+        return expected_ends(servers[server].server->id, round.now);
+    };
+    for (std::size_t i = 0; i < tasks && !round.reservations.is_full(); ++i) {
+        if (round.reservations.reserve(servers, ends, spec, hints, slack, round.now) == nullptr) {
+            return;
+        }
+        ++round_stats_.reservations;
+    }
+}
+
+void dispatcher::record_placement(scheduling_round& round, std::size_t server, const task_id& task,
+                                  const jobs::step_spec& spec,
                                   const scheduler::placement_hints& hints, server_candidate& c)
 {
     c.free -= spec.required_capacity();
+    round.reservations.record_placement(server, spec.required_capacity(), hints.run_time,
+                                        round.now);
     waiting_tasks_.record_start(task);
     waiting_suspects_.record_start(task);
     record_suspect_start(c, hints);
@@ -226,11 +292,20 @@
         if (spec.long_running) {
             record_unplaced_tasks(round, {id, occurrence, step, 0}, spec, tasks);
         }
+        reserve_for_tasks(round, spec, hints, count_waiting(tasks), servers);
         return;
     }
     std::vector<std::pair<server_id, std::uint32_t>> tasks_by_server;
     hints.step_on_server = &tasks_by_server;
     hints.job = id;
+    if (!round.reservations.empty()) {
+        hints.reserved = &round.reservations;
+        hints.now = round.now;
+        hints.run_time =
+            spec.long_running
+                ? scheduler::unlimited_run_time
+                : milliseconds{std::llround(times_.upper_bound_ms(j.queue, spec.estimate_ms))};
+    }
     std::array<bool, 2> unplaced_suspects{};
     const auto count_placement = [&](const server_id& server) {
         const auto known =
@@ -302,6 +377,8 @@
                     record_unplaced_tasks(round, task, spec, tasks);
                 }
                 failed_hints = hints;
+                reserve_for_tasks(round, spec, hints, count_waiting(std::span{tasks}.subspan(i)),
+                                  servers);
             }
             if (spec.gang) {
                 undo_gang();
@@ -313,7 +390,7 @@
             continue;
         }
         server_candidate& c = servers[*chosen];
-        record_placement(task, spec, hints, c);
+        record_placement(round, *chosen, task, spec, hints, c);
         round.added_usage[j.account] += spec.need;
         count_placement(c.server->id);
         hints.step_rack = c.server->rack;
--- a/src/fleet/scheduling_round.h
+++ b/src/fleet/scheduling_round.h
@@ -3,6 +3,7 @@
 #include "dispatcher.h"
 
 #include "fescuestream/scheduler/failed_searches.h"
+#include "fescuestream/scheduler/reservations.h"
 
 #include <set>
 #include <utility>
@@ -43,6 +44,10 @@
      * are no suspects. */
     pool_searches* searches{nullptr};
     scheduler::failed_searches failed_searches;
+    /** Capacity of that pool's servers that is reserved for its large tasks, and the job whose
+     * tasks are being placed. */
+    scheduler::reservations reservations;
+    const scheduler::queued_job* job{nullptr};
     /** All servers of each pool, for the log. */
     std::map<pool_id, std::vector<server_availability>> availability;
 };
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -1,5 +1,6 @@
 #include "fescuestream/scheduler/placement.h"
 
+#include "fescuestream/scheduler/reservations.h"
 #include "fescuestream/scheduler/suspect_isolation.h"
 
 #include <algorithm>
@@ -114,7 +115,12 @@
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < servers.size(); ++i) {
         const server_candidate& c = servers[i];
-        if (!step.required_capacity().fits(c.free) || !is_eligible(c, step, hints)) {
+        const jobs::resources need = step.required_capacity();
+        if (!need.fits(c.free) || !is_eligible(c, step, hints)) {
+            continue;
+        }
+        if (hints.reserved != nullptr &&
+            !hints.reserved->allows(i, need, hints.run_time, hints.now)) {
             continue;
         }
         if (!best || placement_cost(c, step, hints) < placement_cost(servers[*best], step, hints)) {
--- a/src/scheduler/run_times.cpp
+++ b/src/scheduler/run_times.cpp
@@ -12,6 +12,12 @@
 constexpr double max_factor = 4;
 /** Run time assumed for tasks without an estimate. */
 constexpr double default_run_time_ms = 1000;
+constexpr double upper_percentile = 0.9;
+/** Relative change of the percentile's estimate per run: it follows a change of the load within
+ * some dozens of runs. */
+constexpr double percentile_step = 0.1;
+/** Ratio assumed before the first run has completed: callers' estimates are off by a factor. */
+constexpr double initial_upper_factor = 2;
 
 } // namespace
 
@@ -25,6 +31,18 @@
     if (!inserted) {
         known->second += (factor - known->second) * smoothing_factor;
     }
+    double& upper = upper_factors_.emplace(queue, initial_upper_factor).first->second;
+    upper *= 1 + percentile_step * (factor > upper ? upper_percentile : upper_percentile - 1);
+}
+
+double run_times::upper_bound_ms(const jobs::queue_id& queue, std::int64_t estimate_ms) const
+{
+    if (estimate_ms <= 0) {
+        return default_run_time_ms * initial_upper_factor;
+    }
+    const auto known = upper_factors_.find(queue);
+    return static_cast<double>(estimate_ms) *
+           (known == upper_factors_.end() ? initial_upper_factor : known->second);
 }
 
 double run_times::expected_ms(const jobs::queue_id& queue, std::int64_t estimate_ms) const
