--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -53,8 +53,6 @@
     bool reserve_capacity{false};
     /** Sizes pools by a forecast of their demand instead of by their initial size. */
     bool forecast_demand{false};
-    /** Refuses jobs whose result is predicted to come too late to be of any use. */
-    bool refuse_expired{false};
 };
 
 struct job_service_settings {
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -92,7 +92,6 @@
     json::object_reader reader{*found, "scheduling", field_errors};
     out.reserve_capacity = reader.flag("reserve_capacity", out.reserve_capacity);
     out.forecast_demand = reader.flag("forecast_demand", out.forecast_demand);
-    out.refuse_expired = reader.flag("refuse_expired", out.refuse_expired);
     reader.finish();
 }
 
