--- a/include/fescuestream/base/codec.h
+++ b/include/fescuestream/base/codec.h
@@ -67,22 +67,29 @@
     std::string_view remaining_;
 };
 
-/** Output archive that appends to a string; the counterpart of bounded_input_archive. */
+/** Output archive that appends to a string, or only counts the bytes; the counterpart of
+ * bounded_input_archive. */
 class string_output_archive
     : public cereal::OutputArchive<string_output_archive, cereal::AllowEmptyClassElision> {
 public:
-    explicit string_output_archive(std::string& out)
+    /** @param out nullptr: the bytes are only counted. */
+    explicit string_output_archive(std::string* out)
         : cereal::OutputArchive<string_output_archive, cereal::AllowEmptyClassElision>{this},
           out_{out}
     {
     }
+    std::size_t size() const noexcept { return size_; }
     void write(const void* data, std::size_t size)
     {
-        out_.append(static_cast<const char*>(data), size);
+        size_ += size;
+        if (out_ != nullptr) {
+            out_->append(static_cast<const char*>(data), size);
+        }
     }
 
 private:
-    std::string& out_;
+    std::string* out_;
+    std::size_t size_{0};
 };
 
 } // namespace internal
@@ -185,11 +192,20 @@
 {
     std::string out;
     out.reserve(size_hint);
-    internal::string_output_archive archive{out};
+    internal::string_output_archive archive{&out};
     archive(v);
     return out;
 }
 
+/** Serializes a large value without reallocations, which would hold it twice in memory. */
+template <class T>
+std::string to_bytes_without_growth(const T& v)
+{
+    internal::string_output_archive counter{nullptr};
+    counter(v);
+    return to_bytes(v, counter.size());
+}
+
 /** Deserializes a value; trailing bytes are an error. */
 template <class T>
 result<T> from_bytes(std::string_view bytes)
--- a/include/fescuestream/consensus/replica-inl.h
+++ b/include/fescuestream/consensus/replica-inl.h
@@ -48,6 +48,7 @@
         }
     }
     synced_ = last_index();
+    count_unapplied_bytes();
     no_vote_before_ = formed() ? now + timing_.election : now;
     reset_election_timer(now);
 }
@@ -250,7 +251,7 @@
 }
 
 template <log_store Store>
-status replica<Store>::compact(std::string state)
+status replica<Store>::compact(std::string state, std::size_t max_retained_bytes)
 {
     if (halted_ || applied_ == 0 || applied_ <= snapshot_index()) {
         return std::nullopt;
@@ -272,8 +273,8 @@
     }
     mark_all_synced();
     snap_ = std::move(created);
-    if (applied_ - base_index_ > retained_entries) {
-        const log_index new_base = applied_ - retained_entries;
+    if (const log_index new_base = first_retained_base(max_retained_bytes);
+        new_base > base_index_) {
         base_term_ = term_at(new_base);
         entries_.erase(entries_.begin(),
                        entries_.begin() + static_cast<std::ptrdiff_t>(new_base - base_index_));
@@ -282,6 +283,21 @@
     return std::nullopt;
 }
 
+template <log_store Store>
+log_index replica<Store>::first_retained_base(std::size_t max_bytes) const
+{
+    log_index base = applied_;
+    std::size_t bytes = 0;
+    while (base > base_index_ && applied_ - base < retained_entries) {
+        bytes += entry_at(base).bytes.size();
+        if (bytes > max_bytes) {
+            break;
+        }
+        --base;
+    }
+    return base;
+}
+
 template <log_store Store>
 mono_time replica<Store>::lease_until() const
 {
@@ -661,6 +677,7 @@
         adopt_configuration(entry.index, entry.bytes);
     }
     store_.append(entry);
+    unapplied_bytes_ += entry.bytes.size();
     entries_.push_back(std::move(entry));
 }
 
@@ -669,6 +686,7 @@
 {
     store_.truncate_from(index);
     entries_.resize(static_cast<std::size_t>(index - base_index_ - 1));
+    count_unapplied_bytes();
     synced_ = std::min(synced_, last_index());
     matched_ = std::min(matched_, last_index());
     while (configurations_.size() > 1 && configurations_.back().first >= index) {
@@ -676,6 +694,15 @@
     }
 }
 
+template <log_store Store>
+void replica<Store>::count_unapplied_bytes()
+{
+    unapplied_bytes_ = 0;
+    for (log_index i = std::max(applied_, base_index_) + 1; i <= last_index(); ++i) {
+        unapplied_bytes_ += entry_at(i).bytes.size();
+    }
+}
+
 template <log_store Store>
 void replica<Store>::adopt_configuration(log_index index, const std::string& bytes)
 {
@@ -717,11 +744,13 @@
     if (restore_pending_) {
         restore_pending_ = false;
         applied_ = snap_->index;
+        count_unapplied_bytes();
         out.restore(*snap_);
     }
     while (applied_ < commit_ && !halted_) {
         ++applied_;
         const store::log_entry entry = entry_at(applied_);
+        unapplied_bytes_ -= entry.bytes.size();
         if (entry.kind == store::entry_kind::command) {
             out.apply(entry);
         }
@@ -772,9 +801,18 @@
 void replica<Store>::send_append(const instance_id& to, progress& p, mono_time now,
                                  const outputs& out)
 {
+    const bool needs_snapshot = p.next_index <= base_index_ && snap_ && !p.snapshot_sent;
+    if (needs_snapshot && snapshot_in_progress(now)) {
+        if (now - p.snapshot_attempt_at >= timing_.heartbeat) {
+            p.snapshot_attempt_at = now;
+            send_empty_heartbeat(to, p, now, out);
+        }
+        return;
+    }
     p.last_sent = now;
-    if (p.next_index <= base_index_ && snap_ && !p.snapshot_sent) {
+    if (needs_snapshot) {
         p.snapshot_sent = true;
+        p.snapshot_attempt_at = now;
         out.send(to, install_snapshot{hard_state_.term, *snap_, internal::to_nanoseconds(now)});
         p.next_index = snap_->index + 1;
         return;
@@ -820,6 +858,28 @@
     out.send(to, std::move(m));
 }
 
+template <log_store Store>
+bool replica<Store>::snapshot_in_progress(mono_time now) const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
+        return peer.second.snapshot_sent &&
+               now - peer.second.snapshot_attempt_at < snapshot_timeout;
+    });
+}
+
+template <log_store Store>
+void replica<Store>::send_empty_heartbeat(const instance_id& to, progress& p, mono_time now,
+                                          const outputs& out) const
+{
+    p.last_sent = now;
+    append_request m;
+    m.term = hard_state_.term;
+    m.prev_index = base_index_;
+    m.prev_term = base_term_;
+    renew_lease(m, p, now);
+    out.send(to, std::move(m));
+}
+
 template <log_store Store>
 void replica<Store>::renew_lease(append_request& m, progress& p, mono_time now) const
 {
--- a/include/fescuestream/consensus/replica.h
+++ b/include/fescuestream/consensus/replica.h
@@ -41,6 +41,9 @@
 
 /** A leader steps down after this many election intervals without contact with a majority. */
 inline constexpr int quorum_timeout_elections = 2;
+/** A snapshot that a peer has not confirmed within this time no longer delays those of other peers.
+ */
+inline constexpr milliseconds snapshot_timeout{10'000};
 /** An append request takes no further entries once it has this many bytes of them. */
 inline constexpr std::size_t max_append_bytes = 1U << 20U;
 /**
@@ -48,6 +51,8 @@
  * snapshot.
  */
 inline constexpr std::size_t retained_entries = 2048;
+/** Bytes of these entries that are kept at most, unless the owner of the replica sets a limit. */
+inline constexpr std::size_t default_retained_bytes = 32U << 20U;
 
 enum class role : std::uint8_t { follower, candidate, leader };
 
@@ -67,6 +72,8 @@
     /** Upper bound on the start of the last renewed lease, on the leader's clock. */
     mono_time lease_renewed_at{};
     bool snapshot_sent{false};
+    /** When a snapshot was sent, or a heartbeat because another peer is receiving one. */
+    mono_time snapshot_attempt_at{};
     /**
      * Last index of the latest large append request; 0: none. Until it is acknowledged, messages
      * may overtake that request, so no further entries are sent.
@@ -141,8 +148,9 @@
      * once the replica has halted. @return the failure of the store that halted it, if any.
      */
     status flush(mono_time now, const outputs& out);
-    /** Replaces the log up to the last applied entry by a snapshot of the state. */
-    status compact(std::string state);
+    /** Replaces the log up to the last applied entry by a snapshot of the state. Keeps at most
+     * @p max_retained_bytes of the entries before it. */
+    status compact(std::string state, std::size_t max_retained_bytes = default_retained_bytes);
     /** Steps down before a planned stop, so that another replica can take over at once. */
     void resign(mono_time now);
     /**
@@ -158,6 +166,9 @@
     term_number term() const noexcept { return hard_state_.term; }
     log_index commit() const noexcept { return commit_; }
     log_index applied() const noexcept { return applied_; }
+    /** @return the bytes of the entries that are not applied yet, of this leader or an earlier one.
+     */
+    std::size_t unapplied_bytes() const noexcept { return unapplied_bytes_; }
     log_index last_index() const noexcept { return base_index_ + entries_.size(); }
     log_index snapshot_index() const noexcept { return snap_ ? snap_->index : 0; }
     const configuration& voters() const noexcept { return configurations_.back().second; }
@@ -203,6 +214,9 @@
     status sync_if_due(mono_time now, const outputs& out);
     void mark_all_synced();
     void truncate_from(log_index index);
+    void count_unapplied_bytes();
+    /** @return the index before the first entry that is kept in front of a snapshot. */
+    log_index first_retained_base(std::size_t max_bytes) const;
     /** Installs a snapshot beyond the commit index. */
     void replace_log_prefix(const store::snapshot& snap);
     void advance_commit();
@@ -223,6 +237,11 @@
      */
     void send_overtaking_heartbeat(const instance_id& to, progress& p, mono_time now,
                                    const outputs& out);
+    /** @return whether a peer is receiving a snapshot. One at a time does, because each of them is
+     * in memory several times. */
+    bool snapshot_in_progress(mono_time now) const;
+    void send_empty_heartbeat(const instance_id& to, progress& p, mono_time now,
+                              const outputs& out) const;
     /** Fills in the fields that renew the lease. */
     void renew_lease(append_request& m, progress& p, mono_time now) const;
     void send_replies(mono_time now, const outputs& out);
@@ -258,6 +277,7 @@
     bool restore_pending_{false};
     log_index commit_{0};
     log_index applied_{0};
+    std::size_t unapplied_bytes_{0};
     log_index synced_{0};
     /** Last index known to match the log of the leader of matched_term_. */
     log_index matched_{0};
--- a/include/fescuestream/replication/replicated-inl.h
+++ b/include/fescuestream/replication/replicated-inl.h
@@ -140,6 +140,8 @@
         },
         [this](const store::log_entry& entry) { apply_entry(entry); },
         [this](const store::snapshot& snap) {
+            // Freed first, so that not both states are in memory.
+            state_ = state_type{};
             auto decoded = M::decode_state(snap.state);
             if (!ok(decoded)) {
                 fail(error_of(decoded));
@@ -278,7 +280,7 @@
     }
     bytes_since_snapshot_ = 0;
     const scope_timer timing{"compact_log"};
-    if (const auto fault = replica_.compact(M::encode_state(state_))) {
+    if (const auto fault = replica_.compact(M::encode_state(state_), policy_.retained_bytes)) {
         fail(*fault);
     }
 }
--- a/include/fescuestream/replication/replicated.h
+++ b/include/fescuestream/replication/replicated.h
@@ -119,6 +119,8 @@
 struct snapshot_policy {
     log_index entries{8192};
     std::size_t bytes{64U << 20U};
+    /** Bytes of the entries before a snapshot that are kept for followers that lag. */
+    std::size_t retained_bytes{consensus::default_retained_bytes};
 };
 
 /** Place of an entry in the log: one leader appends at most one entry at an index in its term. */
--- a/include/fescuestream/wire/send_queue.h
+++ b/include/fescuestream/wire/send_queue.h
@@ -43,7 +43,7 @@
 class send_queue {
 public:
     /** Queues an encoded frame. */
-    void push(std::string_view frame) { frames_ += frame; }
+    void push(std::string&& frame);
     /** Queues an encoded message, to be sent in parts whenever no frames are queued. */
     void push_large(std::string&& bytes) { large_messages_.push_back(std::move(bytes)); }
     /**
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -46,8 +46,8 @@
                                              .lease = milliseconds{3000},
                                              .commit_delay = milliseconds{60},
                                              .leader_sync_delay = milliseconds{60}};
-/** Bounds memory: the state is small, but the log entries are not. */
-constexpr replication::snapshot_policy snapshot_limits{4096, 4U << 20U};
+/** Number of log entries after which a snapshot is taken. */
+constexpr log_index snapshot_entries = 4096;
 
 http::response to_http(const wire::forwarded_reply& reply)
 {
@@ -147,7 +147,9 @@
                 },
                 [this] { log_restored(); }, [this](const error& e) { disk_failed(e); },
                 [this] { peers->flush(); }},
-            snapshot_limits, consensus_timing);
+            replication::snapshot_policy{snapshot_entries, settings.max_log_bytes / 2,
+                                         settings.max_log_bytes / 2},
+            consensus_timing);
     }
 
     void create_components()
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -510,7 +510,7 @@
 
 std::string machine::encode_state(const state& s)
 {
-    return to_bytes(s);
+    return to_bytes_without_growth(s);
 }
 
 result<state> machine::decode_state(const std::string& bytes)
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -56,6 +56,31 @@
 
 using record_item = std::variant<log_entry, truncation, hard_state, snapshot>;
 
+/** Encodes like a vector of record_item, without copies of the items. */
+struct snapshot_items {
+    const hard_state& hard;
+    const snapshot& snap;
+    const std::vector<log_entry>& after;
+
+    template <class Archive>
+    void save(Archive& archive) const
+    {
+        archive(cereal::make_size_tag(after.size() + 2));
+        save_item(archive, hard);
+        save_item(archive, snap);
+        for (const log_entry& entry : after) {
+            save_item(archive, entry);
+        }
+    }
+
+    template <class Archive, class Item>
+    static void save_item(Archive& archive, const Item& item)
+    {
+        static const auto index = static_cast<std::int32_t>(record_item{Item{}}.index());
+        archive(index, item);
+    }
+};
+
 /** @return the payload of the valid record at the front of the bytes, or nullopt. */
 std::optional<std::string_view> parse_record(std::string_view bytes)
 {
@@ -158,7 +183,8 @@
 }
 
 /** Replaces a file atomically: after a crash it has either the old or the new content. */
-status replace_file(const std::string& folder, const std::string& name, std::string_view bytes)
+status replace_file(const std::string& folder, const std::string& name, std::string_view header,
+                    std::string_view bytes)
 {
     const std::string temporary = folder + "/" + name + ".new";
     const std::string final_name = folder + "/" + name;
@@ -167,7 +193,7 @@
     if (fd < 0) {
         return os_error("cannot write '" + temporary + "'");
     }
-    const bool written = write_all(fd, bytes) && fsync(fd) == 0;
+    const bool written = write_all(fd, header) && write_all(fd, bytes) && fsync(fd) == 0;
     close(fd);
     if (!written || rename(temporary.c_str(), final_name.c_str()) != 0) {
         return os_error("cannot replace '" + final_name + "'");
@@ -181,12 +207,15 @@
     if (!in) {
         return std::nullopt;
     }
-    return std::string{std::istreambuf_iterator<char>{in}, {}};
+    std::error_code fault;
+    const auto size = std::filesystem::file_size(file, fault);
+    std::string out;
+    out.reserve(fault ? 0 : static_cast<std::size_t>(size));
+    out.assign(std::istreambuf_iterator<char>{in}, {});
+    return out;
 }
 
-} // namespace
-
-std::string make_record(std::string_view payload)
+std::string make_record_header(std::string_view payload)
 {
     record_header header;
     header.size = static_cast<std::uint32_t>(payload.size());
@@ -194,10 +223,16 @@
     header.header_crc = header_crc32(header);
     std::string out(sizeof header, '\0');
     std::memcpy(out.data(), &header, sizeof header);
-    out.append(payload);
     return out;
 }
 
+} // namespace
+
+std::string make_record(std::string_view payload)
+{
+    return make_record_header(payload).append(payload);
+}
+
 result<recovered> read_log(std::string_view bytes)
 {
     recovered out;
@@ -280,7 +315,7 @@
         randombytes_buf(&identity, sizeof identity);
         std::string bytes(sizeof identity, '\0');
         std::memcpy(bytes.data(), &identity, sizeof identity);
-        return replace_file(folder, "identity", bytes);
+        return replace_file(folder, "identity", {}, bytes);
     }
 
     status read_entries()
@@ -378,19 +413,14 @@
 status disk_store::save_snapshot(const snapshot& snap, const hard_state& hard,
                                  const std::vector<log_entry>& after)
 {
-    std::vector<record_item> items;
-    items.emplace_back(hard);
-    items.emplace_back(snap);
-    for (const log_entry& entry : after) {
-        items.emplace_back(entry);
-    }
-    const std::string bytes = make_record(to_bytes(items));
-    if (auto fault = replace_file(impl_->folder, "log", bytes)) {
+    const std::string payload = to_bytes_without_growth(snapshot_items{hard, snap, after});
+    const std::string header = make_record_header(payload);
+    if (auto fault = replace_file(impl_->folder, "log", header, payload)) {
         return fault;
     }
     close(impl_->log_fd);
     impl_->pending.clear();
-    return impl_->open_log(bytes.size());
+    return impl_->open_log(header.size() + payload.size());
 }
 
 } // namespace fescue::store
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -10,6 +10,9 @@
 
 using tag = std::array<unsigned char, tag_bytes>;
 
+/** A larger buffer is freed as soon as its frames have been read. */
+constexpr std::size_t max_kept_buffer_bytes = 256U << 10U;
+
 const unsigned char* as_bytes(std::string_view text)
 {
     return reinterpret_cast<const unsigned char*>(text.data()); // NOLINT
@@ -99,6 +102,8 @@
     if (unread.size() < frame_bytes) {
         buffer_.erase(0, consumed_);
         consumed_ = 0;
+        // Growth would hold a large frame twice.
+        buffer_.reserve(frame_bytes);
         return std::optional<std::string>{};
     }
     const std::string_view payload = unread.substr(sizeof size + tag_bytes, size);
@@ -109,6 +114,10 @@
     ++sequence_;
     std::string out{payload};
     consumed_ += frame_bytes;
+    if (consumed_ == buffer_.size() && buffer_.capacity() > max_kept_buffer_bytes) {
+        buffer_ = std::string{};
+        consumed_ = 0;
+    }
     return std::optional{std::move(out)};
 }
 
--- a/src/wire/send_queue.cpp
+++ b/src/wire/send_queue.cpp
@@ -39,6 +39,15 @@
            (static_cast<unsigned char>(from.nonce[nonce_bytes]) & parts_accepted) != 0;
 }
 
+void send_queue::push(std::string&& frame)
+{
+    if (frames_.empty()) {
+        frames_ = std::move(frame);
+    } else {
+        frames_ += frame;
+    }
+}
+
 std::string_view send_queue::next(std::optional<frame_writer>& writer)
 {
     if (consumed_ == frames_.size() && !large_messages_.empty()) {
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -324,6 +324,7 @@
                 return true;
             }
             auto m = decode_message(*value(payload));
+            value(payload).reset();
             if (!ok(m) || !process_message(connection, std::move(value(m)))) {
                 log::warning("message_refused",
                              {{"why", ok(m) ? "unexpected message before the handshake"
@@ -454,7 +455,9 @@
         bytes > 0 && connection.peer_accepts_parts) {
         connection.queue.push_large(to_bytes(m, bytes + bytes / 16));
     } else {
-        connection.queue.push(connection.writer->write(to_bytes(m)));
+        const bool is_snapshot = std::holds_alternative<consensus::install_snapshot>(m);
+        connection.queue.push(
+            connection.writer->write(is_snapshot ? to_bytes_without_growth(m) : to_bytes(m)));
     }
     if (impl_->writes_held) {
         impl_->peers_to_flush.insert(to);
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -419,6 +419,56 @@
     CHECK(group.at(id(2)).applied.back() == "after");
 }
 
+// Fails if large entries stay in memory because they are few.
+TEST_CASE("a compacted log keeps no more than the given bytes for followers that lag")
+{
+    replica_group<> group{3, 13};
+    group.form();
+    group.crash(id(2));
+    constexpr std::size_t entry_bytes = 1000;
+    for (int i = 0; i < 100; ++i) {
+        group.leader()->propose(std::string(entry_bytes, 'x'));
+    }
+    CHECK(group.leader()->unapplied_bytes() >= 100 * entry_bytes);
+    group.run(20);
+    CHECK(group.leader()->unapplied_bytes() == 0);
+    REQUIRE_FALSE(group.leader()->compact("the state", 10 * entry_bytes));
+    group.start(id(2));
+    group.run(100);
+    CHECK(group.at(id(2)).applied.front() == "the state");
+    group.leader()->propose("after");
+    group.run(20);
+    CHECK(group.at(id(2)).applied.back() == "after");
+}
+
+TEST_CASE("followers that are far behind receive a snapshot one after the other")
+{
+    replica_group<> group{5, 13};
+    group.form();
+    group.crash(id(3));
+    group.crash(id(4));
+    for (int i = 0; i < 100; ++i) {
+        group.leader()->propose(std::string(1000, 'x'));
+    }
+    group.run(20);
+    const instance_id leader = leader_of(group);
+    REQUIRE_FALSE(group.leader()->compact("the state", 0));
+    group.start(id(3));
+    group.start(id(4));
+    const auto receiving = [&] {
+        const auto& peers = group.at(leader).log->peers();
+        return std::count_if(peers.begin(), peers.end(),
+                             [](const auto& peer) { return peer.second.snapshot_sent; });
+    };
+    for (int i = 0; i < 200; ++i) {
+        group.run(1);
+        REQUIRE(receiving() <= 1);
+    }
+    for (const int follower : {3, 4}) {
+        CHECK(group.at(id(follower)).applied.front() == "the state");
+    }
+}
+
 TEST_CASE("a replica whose sync failed acknowledges nothing more, even if later syncs succeed")
 {
     replica_group<> group{3, 31};
