Stored jobs: count every occurrence, ended jobs and jobs on their way

Callers saw: one document of under 200 bytes whose steps occur every millisecond filled the memory of all schedulers. Ended jobs were bounded by nothing, so that a stream of withdrawn jobs could fill it as well, and neither were jobs whose log entries were not applied yet.

Cause: job_memory counted the jobs that have not ended, with the tasks of one occurrence. Occurrences stayed until the end of the job. The sum was taken from applied jobs only, four times a second.

Change: occurrences are freed once they are done, and the next one is postponed while there is no room (counter occurrences_postponed); ended jobs count with what they keep, which is their state; admitted jobs count until they are applied; nothing is accepted while max_log_bytes of entries wait to be applied.

Unit: "callers: occurrences of a job are postponed ...", "callers: ended jobs, and jobs whose command is not applied yet, count as stored".

--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -117,7 +117,7 @@
         reply(error_reply(bad_request, "bad_request", error_of(spec).detail));
         return;
     }
-    if (auto refusal = refuse_for_memory(value(spec), job_id_text)) {
+    if (auto refusal = refuse_for_memory(*id, value(spec), in.body.size())) {
         reply(std::move(*refusal));
         return;
     }
@@ -144,24 +144,29 @@
         });
 }
 
-std::optional<wire::forwarded_reply> caller_api::refuse_for_memory(const jobs::job_spec& spec,
-                                                                   const std::string& job_id_text)
+std::optional<wire::forwarded_reply> caller_api::refuse_for_memory(const jobs::job_id& id,
+                                                                   const jobs::job_spec& spec,
+                                                                   std::size_t document_bytes)
 {
-    const memory_verdict verdict = memory_.admit(spec, context_.state(), context_.now());
+    const memory_verdict verdict =
+        context_.log_has_room(document_bytes)
+            ? context_.stored_jobs.admit(id, spec, context_.state(), context_.now())
+            : memory_verdict::no_room;
     if (verdict == memory_verdict::fits) {
         return std::nullopt;
     }
     context_.counters.count("jobs_refused_for_memory");
-    log::info("job_refused", {{"job", job_id_text},
+    log::info("job_refused", {{"job", id.text()},
                               {"why", "memory"},
                               {"job_bytes", estimate_memory(spec)},
-                              {"held_bytes", memory_.bytes()},
+                              {"held_bytes", context_.stored_jobs.bytes()},
+                              {"unapplied_bytes", context_.log.replica().unapplied_bytes()},
                               {"max_bytes", context_.settings.max_job_bytes}});
     if (verdict == memory_verdict::job_too_large) {
         return error_reply(bad_request, "bad_request", "the job has too many steps or tasks");
     }
     wire::forwarded_reply refusal =
-        error_reply(service_unavailable, "not_serving", "too many jobs have not ended");
+        error_reply(service_unavailable, "not_serving", "too many jobs are stored");
     refusal.retry_after_ms = memory_retry_ms;
     return refusal;
 }
--- a/src/fleet/caller_api.h
+++ b/src/fleet/caller_api.h
@@ -7,7 +7,6 @@
  */
 
 #include "core_context.h"
-#include "job_memory.h"
 
 #include "fescuestream/wire/message.h"
 
@@ -21,10 +20,7 @@
 
 class caller_api {
 public:
-    explicit caller_api(core_context& context)
-        : context_{context}, memory_{context.settings.max_job_bytes}
-    {
-    }
+    explicit caller_api(core_context& context) : context_{context} {}
 
     /** Replies to a call, possibly after it returns. Precondition: this instance leads. */
     void handle_call(const wire::forwarded_call& in, const reply_function& reply);
@@ -49,11 +45,11 @@
     bool is_job_of_queue(const jobs::job& job, const jobs::queue& queue) const;
 
     /** @return the refusal of a job for which there is no memory, if so. */
-    std::optional<wire::forwarded_reply> refuse_for_memory(const jobs::job_spec& spec,
-                                                           const std::string& job_id_text);
+    std::optional<wire::forwarded_reply> refuse_for_memory(const jobs::job_id& id,
+                                                           const jobs::job_spec& spec,
+                                                           std::size_t document_bytes);
 
     core_context& context_;
-    job_memory memory_;
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/core_context.h
+++ b/src/fleet/core_context.h
@@ -5,6 +5,7 @@
  * State and services shared by the components of a scheduler instance.
  */
 
+#include "job_memory.h"
 #include "protocol.h"
 #include "relay.h"
 
@@ -27,6 +28,7 @@
     relay& order_relay;
     job_log& log;
     metrics& counters;
+    job_memory stored_jobs{settings.max_job_bytes};
 
     mono_time now() const noexcept { return loop.now(); }
     const jobs::state& state() const noexcept { return log.state(); }
@@ -34,6 +36,12 @@
     /** @return whether this instance holds a valid leader lease, so that it may send orders and
      * serve consistent reads. */
     bool has_leader_lease() const { return log.replica().has_leader_lease(loop.now()); }
+    /** @return whether the log may take a command of this size; one command always fits. */
+    bool log_has_room(std::size_t bytes) const
+    {
+        const std::size_t unapplied = log.replica().unapplied_bytes();
+        return unapplied == 0 || unapplied + bytes <= settings.max_log_bytes;
+    }
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -259,7 +259,12 @@
         const jobs::job& j = context_.state().jobs.at(id);
         const auto& schedule = j.spec.schedule;
         const wall_ms due = schedule.first_at + schedule.interval_ms * j.occurrences_opened;
-        if (now >= due) {
+        if (now < due) {
+            continue;
+        }
+        if (!context_.stored_jobs.admit_occurrence(id, context_.state(), context_.now())) {
+            context_.counters.count("occurrences_postponed");
+        } else {
             context_.log.propose_here(jobs::start_occurrence{id, j.occurrences_opened});
         }
     }
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -33,6 +33,15 @@
     s.crash_records.erase(first, last);
 }
 
+void remove_crash_records(state& s, const job_id& id, std::uint32_t occurrence)
+{
+    const auto first = s.crash_records.lower_bound(task_id{id, occurrence, 0, 0});
+    const auto last = std::find_if(first, s.crash_records.end(), [&](const auto& entry) {
+        return entry.first.job != id || entry.first.occurrence != occurrence;
+    });
+    s.crash_records.erase(first, last);
+}
+
 /** Frees the spec and the occurrences of an ended job once none of its tasks run. */
 void release_ended_job(state& s, const job_id& id, job& j)
 {
@@ -105,7 +114,8 @@
     ++st.done;
 }
 
-/** Counts the task's occurrence if it is done, and completes the job after the last one. */
+/** Counts the task's occurrence if it is done, frees it, and completes the job after the last one.
+ */
 void complete_occurrence_if_done(state& s, const task_id& id, job& j, wall_ms now)
 {
     const auto current = j.occurrences.find(id.occurrence);
@@ -115,6 +125,9 @@
     ++j.occurrences_done;
     if (j.occurrences_done >= std::max<std::uint32_t>(1, j.spec.schedule.times)) {
         end_job(s, id.job, j, job_phase::completed, now);
+    } else {
+        j.occurrences.erase(current);
+        remove_crash_records(s, id.job, id.occurrence);
     }
 }
 
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -225,7 +225,7 @@
     jobs::state state;
     job_memory memory{2 * bytes + bytes / 2};
     const auto submit = [&](std::uint64_t id, mono_time now) {
-        const memory_verdict verdict = memory.admit(spec, state, now);
+        const memory_verdict verdict = memory.admit(jobs::job_id{id}, spec, state, now);
         if (verdict == memory_verdict::fits) {
             jobs::apply(state, jobs::submit_job{jobs::job_id{id}, {}, {}, {}, spec, 0});
         }
@@ -238,5 +238,77 @@
     jobs::apply(state, jobs::cancel_job{jobs::job_id{1}, 0});
     CHECK(submit(3, mono_time{1h} + 2s) == memory_verdict::fits);
     job_memory small{bytes - 1};
-    CHECK(small.admit(spec, state, mono_time{1h}) == memory_verdict::job_too_large);
+    CHECK(small.admit(jobs::job_id{4}, spec, state, mono_time{1h}) ==
+          memory_verdict::job_too_large);
+}
+
+// Fails if one small document with many occurrences can fill the memory of every scheduler.
+TEST_CASE(
+    "callers: occurrences of a job are postponed while the stored jobs hold the maximum of memory")
+{
+    jobs::job_spec spec;
+    spec.steps.resize(1);
+    spec.steps[0].tasks = 1000;
+    spec.schedule = {1000, 1, 1};
+    const std::size_t bytes = estimate_memory(spec);
+    jobs::state state;
+    job_memory memory{10 * bytes};
+    const jobs::job_id id{1};
+    mono_time now{1h};
+    REQUIRE(memory.admit(id, spec, state, now) == memory_verdict::fits);
+    jobs::apply(state, jobs::submit_job{id, {}, {}, {}, spec, 0});
+    const auto open_next = [&] {
+        now += 1s;
+        if (memory.admit_occurrence(id, state, now)) {
+            jobs::apply(state, jobs::start_occurrence{id, state.jobs.at(id).occurrences_opened});
+        }
+    };
+    for (int i = 0; i < 50; ++i) {
+        open_next();
+    }
+    const std::size_t open = state.jobs.at(id).occurrences.size();
+    CHECK(open >= 5);
+    CHECK(open <= 9);
+    // An occurrence that is done makes room for the next one.
+    for (std::uint32_t i = 0; i < 1000; ++i) {
+        const jobs::run_id run{{id, 0, 0, i}, 1};
+        jobs::apply(state, jobs::start_runs{{{run, server_id{"s"}, 1}}});
+        jobs::apply(state, jobs::end_runs{{{run, jobs::run_outcome::done, ""}}, 0});
+    }
+    CHECK(state.jobs.at(id).occurrences.size() == open - 1);
+    CHECK(state.jobs.at(id).occurrences_done == 1);
+    open_next();
+    CHECK(state.jobs.at(id).occurrences.size() == open);
+}
+
+TEST_CASE("callers: ended jobs, and jobs whose command is not applied yet, count as stored")
+{
+    jobs::job_spec spec;
+    spec.steps.resize(1);
+    spec.steps[0].tasks = 1;
+    const std::size_t bytes = estimate_memory(spec);
+    jobs::state state;
+    job_memory memory{1000 * bytes};
+    mono_time now{1h};
+    std::uint64_t admitted = 0;
+    while (memory.admit(jobs::job_id{admitted + 1}, spec, state, now) == memory_verdict::fits) {
+        ++admitted;
+        now += 5ms;
+        REQUIRE(admitted <= 1000);
+    }
+    CHECK(admitted == 1000);
+    // A repeated submission is not counted again.
+    CHECK(memory.admit(jobs::job_id{1}, spec, state, now) == memory_verdict::fits);
+    for (std::uint64_t id = 1; id <= admitted; ++id) {
+        jobs::apply(state, jobs::submit_job{jobs::job_id{id}, {}, {}, {}, spec, 0});
+        jobs::apply(state, jobs::cancel_job{jobs::job_id{id}, 0});
+    }
+    now += 1min;
+    std::uint64_t more = 0;
+    while (memory.admit(jobs::job_id{10'000 + more}, spec, state, now) == memory_verdict::fits) {
+        ++more;
+    }
+    // An ended job keeps its state, but not its steps and tasks.
+    CHECK(more > 0);
+    CHECK(more < admitted / 2);
 }
