HTTP server: close connections without a whole request head, and responses that are not read

Callers saw: with as many connections as the port allows that had sent half a request line, or nothing, no ordinary caller was answered, and nothing ever closed them. On the control port, connections that asked for a large document and did not read it held a copy each.

Cause: only unfinished bodies could be dropped for new connections, and only they had a timeout. Responses did not count as held memory, nor did the copied parts of a request's head. A scheduler queued whole documents for a peer without bound.

Change: a new module, http/waiting_connections, tracks the connections that wait for a head. A head must be whole within header_timeout_ms (10 s) of its first byte however it trickles; idle connections are closed after idle_timeout_ms (60 s). Close to max_connections the oldest connection without any request is closed first, then stalled bodies, then the longest idle. Responses above 16 KiB and heads count as held memory; if there is none left, the longest unread response is dropped. A connection's buffer is 24 KiB instead of 32. The readiness port has 64 connections. Replies above 16 KiB to a peer that does not take them become 503.

--- a/include/fescuestream/http/request_limits.h
+++ b/include/fescuestream/http/request_limits.h
@@ -21,6 +21,10 @@
     std::size_t max_held_body_bytes{32U << 20U};
     /** An unfinished body that receives nothing for this long is dropped. */
     milliseconds body_stall_time{15'000};
+    /** A connection is closed if a part of a request head has been there for this long. */
+    milliseconds header_timeout{10'000};
+    /** A connection on which nothing is sent or received for this long is closed. */
+    milliseconds idle_timeout{60'000};
     std::size_t max_connections{8192};
 };
 
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -37,6 +37,19 @@
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
+/** Limits of the readiness port, which serves the load balancer and the metrics: together with the
+ * callers' port it must fit the memory of the instance. */
+http::request_limits readiness_limits(http::request_limits limits)
+{
+    constexpr std::size_t max_connections = 64;
+    constexpr std::size_t max_body_bytes = 16U << 10U;
+    constexpr std::size_t max_held_body_bytes = 1U << 20U;
+    limits.max_connections = std::min(limits.max_connections, max_connections);
+    limits.max_body_bytes = std::min(limits.max_body_bytes, max_body_bytes);
+    limits.max_held_body_bytes = std::min(limits.max_held_body_bytes, max_held_body_bytes);
+    return limits;
+}
+
 milliseconds parse_caller_timeout(const std::optional<std::string>& text)
 {
     std::int64_t ms = 0;
@@ -105,10 +118,10 @@
             std::make_unique<http::server>(loop, [this](http::exchange_id id, http::request&& in) {
                 handle_readiness_request(id, in);
             });
-        for (http::server* server : {caller_server.get(), readiness_server.get()}) {
-            server->set_limits(settings.request_limits);
-            server->report_to(counters);
-        }
+        caller_server->set_limits(settings.request_limits);
+        caller_server->report_to(counters);
+        readiness_server->set_limits(readiness_limits(settings.request_limits));
+        readiness_server->report_to(counters);
         loop.on_iteration_end([this] { peers->flush(); });
         ticker = loop.every(housekeeping_period, [this] { housekeep(); });
         // The callers' port last, so that no caller connects to an instance that fails to start.
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds job_retention_margin{5000};
 /** Time for the transfer of leadership before a stopping scheduler closes its control port. */
 constexpr milliseconds leadership_transfer_time{700};
+/** Larger replies are not sent to a peer that does not take them as fast as they are requested. */
+constexpr std::size_t large_reply_bytes = 16U << 10U;
 constexpr int service_unavailable = 503;
 constexpr int ok_status = 200;
 /** Per server, one connection carries the long poll and the others carry orders; an order without
@@ -382,6 +384,14 @@
                 return;
             }
             r.call_id = number;
+            const std::size_t max_pending = settings.request_limits.max_held_body_bytes / 4;
+            if (r.body.size() > large_reply_bytes &&
+                peers->pending_bytes(from) + r.body.size() > max_pending) {
+                // Only documents are that large; they are read again from another scheduler.
+                log::info("reply_not_sent", {{"peer", from.str()}, {"bytes", r.body.size()}});
+                r.status = service_unavailable;
+                r.body = R"({"error":"not_serving"})";
+            }
             peers->send(from, r);
         };
         if (!may_serve()) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,8 @@
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/log_limiter.h"
 #include "fescuestream/http/held_bodies.h"
+#include "fescuestream/http/waiting_connections.h"
+#include "socket_info.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -13,6 +15,7 @@
 
 #include <charconv>
 #include <cstring>
+#include <set>
 #include <unordered_map>
 
 namespace fescue::http {
@@ -23,9 +26,18 @@
 /** A request that was sent before the listening socket closed arrives within this time. */
 constexpr milliseconds drain_quiet_time{100};
 constexpr std::string_view bearer_prefix = "Bearer ";
-/** Unfinished requests are dropped while less than this part of the connections is left, so that
- * new callers find one. */
+/** Connections are closed while less than this part of them is left, so that new callers find one.
+ */
 constexpr std::size_t spare_connections_divisor = 16;
+/** Memory of a connection for the head of a request, which may have 16 KiB, and its parsed form. */
+constexpr std::size_t connection_buffer_bytes = 24U << 10U;
+/** Larger responses count as held memory until they have been sent. */
+constexpr std::size_t small_response_bytes = 16U << 10U;
+
+struct open_connection {
+    connection_id id{0};
+    int socket{-1};
+};
 
 struct exchange {
     exchange_id id{0};
@@ -36,16 +48,39 @@
     std::optional<response> reply;
     MHD_Connection* connection{nullptr};
     mono_time began_at{};
+    mono_time replied_at{};
     bool dispatched{false};
     bool suspended{false};
+    /** The library reads the response's body from the exchange until it has been sent. */
+    bool response_queued{false};
     /** The request was dropped; its connection is being closed. */
     bool dropped{false};
     /** Length that the request announces for its body; 0: none. */
     std::size_t announced_bytes{0};
     /** Part of the body that was received after the request had been rejected. */
     std::size_t discarded_bytes{0};
+    /** Memory of the copied parts of the request's head. */
+    std::size_t head_bytes{0};
 };
 
+std::size_t count_head_bytes(const exchange& ex)
+{
+    const request& in = ex.incoming;
+    std::size_t bytes = in.method.size() + in.path.size() + ex.request_line.size() +
+                        in.content_type.size() + in.host.size();
+    const auto add = [&](const std::optional<std::string>& value) {
+        bytes += value ? value->size() : 0;
+    };
+    add(in.authorization);
+    add(in.idempotency_key);
+    add(in.if_match);
+    add(in.timeout_ms);
+    for (const auto& value : in.captured_headers) {
+        add(value);
+    }
+    return bytes;
+}
+
 std::optional<std::string> find_header(MHD_Connection* connection, const char* name)
 {
     const char* text = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
@@ -125,9 +160,14 @@
     std::unordered_map<exchange_id, exchange*> receiving;
     request_limits limits;
     held_bodies held{request_limits{}.max_held_body_bytes};
-    std::size_t connections{0};
+    std::unordered_map<connection_id, std::unique_ptr<open_connection>> connections;
+    waiting_connections waiting{request_limits{}.header_timeout, request_limits{}.idle_timeout};
+    connection_id next_connection{1};
+    /** Exchanges whose large response is being sent, by the time of the response. */
+    std::set<std::pair<mono_time, exchange*>> sending;
     metrics* counters{nullptr};
     log::limiter rejected_bodies;
+    log::limiter closed_connections;
     std::size_t unfinished_exchanges{0};
     /** Time of the last end of an exchange, or when the server stopped accepting. */
     mono_time last_activity{};
@@ -174,8 +214,10 @@
             created->incoming.captured_headers.push_back(find_header(connection, name.c_str()));
         }
         created->announced_bytes = announced_length(connection);
+        created->head_bytes = count_head_bytes(*created);
         exchange& ex = *created.release();
         *context = &ex;
+        waiting.end(connection_of(connection).id);
         ++unfinished_exchanges;
         held.begin(ex.id, loop.now());
         receiving.emplace(ex.id, &ex);
@@ -183,9 +225,19 @@
             reject(ex, make_too_large(), "announced_too_large");
             return queue_response(connection, *ex.reply);
         }
+        if (!reserve(ex, 0)) {
+            reject(ex, make_no_memory(), "memory");
+            return queue_response(connection, *ex.reply);
+        }
         return MHD_YES;
     }
 
+    static open_connection& connection_of(MHD_Connection* connection)
+    {
+        const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+        return *static_cast<open_connection*>(info->socket_context);
+    }
+
     /** Rejects a request whose body has not been received whole, and frees what it holds. */
     void reject(exchange& ex, response&& reply, const char* why)
     {
@@ -202,10 +254,8 @@
         release_body(ex);
         receiving.erase(ex.id);
         held.remove(ex.id);
-        const auto* info =
-            MHD_get_connection_info(ex.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
         // The library reads the end of the stream and ends the exchange.
-        ::shutdown(info->connect_fd, SHUT_RDWR);
+        ::shutdown(connection_of(ex.connection).socket, SHUT_RDWR);
         record_rejection("body_dropped", "bodies_dropped", ex, why);
     }
 
@@ -228,11 +278,26 @@
                                  {"request", ex.request_line},
                                  {"announced_bytes", ex.announced_bytes},
                                  {"held_bytes", held.bytes()},
-                                 {"connections", connections},
+                                 {"connections", connections.size()},
                                  {"requests", requests}});
         }
     }
 
+    /** Closes a connection on which no request has begun. */
+    void close_waiting(connection_id id, const char* why)
+    {
+        waiting.end(id);
+        ::shutdown(connections.at(id)->socket, SHUT_RDWR);
+        if (counters != nullptr) {
+            counters->count("connections_closed");
+        }
+        const auto closed = closed_connections.admit(why, loop.now());
+        if (closed > 0) {
+            log::warning("connection_closed",
+                         {{"why", why}, {"connections", connections.size()}, {"closed", closed}});
+        }
+    }
+
     /** Makes room for more of the body. Drops other unfinished bodies if necessary.
      * @return whether there is room. */
     bool reserve_body(exchange& ex, std::size_t added)
@@ -243,17 +308,68 @@
             return true;
         }
         const std::size_t capacity = std::max(needed, 2 * body.capacity());
-        while (!held.try_resize(ex.id, capacity)) {
+        if (!reserve(ex, capacity)) {
+            return false;
+        }
+        body.reserve(capacity);
+        return true;
+    }
+
+    /** Makes room for the head of a request and a body of this size. Drops responses that are not
+     * read and other unfinished bodies if necessary. @return whether there is room. */
+    bool reserve(const exchange& ex, std::size_t body_bytes)
+    {
+        while (!held.try_resize(ex.id, ex.head_bytes + body_bytes)) {
+            if (drop_unread_response()) {
+                continue;
+            }
             const auto stalled = held.longest_stalled(ex.id, 1);
             if (!stalled) {
                 return false;
             }
             drop(*receiving.at(*stalled), "memory");
         }
-        body.reserve(capacity);
         return true;
     }
 
+    /** Closes the connection whose large response has been waiting for the longest time.
+     * @return whether there was one. */
+    bool drop_unread_response()
+    {
+        if (sending.empty()) {
+            return false;
+        }
+        exchange& ex = *sending.begin()->second;
+        sending.erase(sending.begin());
+        held.remove(ex.id);
+        if (!ex.response_queued) {
+            ex.reply->body = std::string{};
+        }
+        // Frees the memory of a response of which the library has sent a part.
+        ::shutdown(connection_of(ex.connection).socket, SHUT_RDWR);
+        record_rejection("response_dropped", "responses_dropped", ex, "memory");
+        return true;
+    }
+
+    /** Counts the memory of a response instead of that of its request; if there is none left, the
+     * response is replaced. */
+    void hold_response(exchange& ex)
+    {
+        if (ex.reply->body.size() <= small_response_bytes) {
+            held.try_resize(ex.id, 0);
+            return;
+        }
+        while (!held.try_resize(ex.id, ex.reply->body.size())) {
+            if (!drop_unread_response()) {
+                ex.reply = make_no_memory();
+                held.try_resize(ex.id, 0);
+                return;
+            }
+        }
+        ex.replied_at = loop.now();
+        sending.emplace(ex.replied_at, &ex);
+    }
+
     MHD_Result append_body(exchange& ex, const char* data, std::size_t* size)
     {
         if (ex.dropped) {
@@ -277,6 +393,20 @@
         return MHD_YES;
     }
 
+    /** Closes the connections whose request head is overdue. */
+    void close_expired()
+    {
+        const mono_time now = loop.now();
+        while (const auto id = waiting.due(now)) {
+            const auto received = received_bytes(connections.at(*id)->socket);
+            if (!received) {
+                waiting.end(*id);
+            } else if (waiting.has_expired(*id, *received, now)) {
+                close_waiting(*id, "timeout");
+            }
+        }
+    }
+
     /** Drops the unfinished requests that have received nothing for too long. */
     void drop_stalled()
     {
@@ -288,25 +418,47 @@
         }
     }
 
-    void on_connection(MHD_ConnectionNotificationCode what)
+    void on_connection(MHD_Connection* connection, void** context,
+                       MHD_ConnectionNotificationCode what)
     {
         if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
-            --connections;
+            const connection_id id = static_cast<open_connection*>(*context)->id;
+            waiting.end(id);
+            connections.erase(id);
             return;
         }
-        ++connections;
+        const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        auto created = std::make_unique<open_connection>();
+        created->id = next_connection++;
+        created->socket = info->connect_fd;
+        *context = created.get();
+        const connection_id id = created->id;
+        connections.emplace(id, std::move(created));
         const std::size_t spare = limits.max_connections / spare_connections_divisor + 1;
-        if (connections + spare > limits.max_connections) {
-            if (const auto stalled = held.longest_stalled(0, 0)) {
-                drop(*receiving.at(*stalled), "connections");
-            }
+        if (connections.size() + spare > limits.max_connections) {
+            free_connection();
+        }
+        waiting.begin(id, 0, false, loop.now());
+    }
+
+    /** Closes one connection for a new one. Idle connections come last: ordinary callers keep them.
+     */
+    void free_connection()
+    {
+        if (const auto unserved = waiting.longest_unserved()) {
+            close_waiting(*unserved, "connections");
+        } else if (const auto stalled = held.longest_stalled(0, 0)) {
+            drop(*receiving.at(*stalled), "connections");
+        } else if (const auto idle = waiting.longest_idle()) {
+            close_waiting(*idle, "connections");
         }
     }
 
     MHD_Result queue_response(MHD_Connection* connection, response& out) const
     {
+        // The exchange keeps the body until the response has been sent.
         MHD_Response* message = MHD_create_response_from_buffer(out.body.size(), out.body.data(),
-                                                                MHD_RESPMEM_MUST_COPY);
+                                                                MHD_RESPMEM_PERSISTENT);
         MHD_add_response_header(message, "Content-Type", out.content_type.c_str());
         for (const header& h : out.headers) {
             MHD_add_response_header(message, h.name.c_str(), h.value.c_str());
@@ -334,6 +486,7 @@
             on_request(ex.id, std::move(ex.incoming));
         }
         if (ex.reply) {
+            ex.response_queued = true;
             return queue_response(connection, *ex.reply);
         }
         ex.suspended = true;
@@ -356,14 +509,14 @@
         return self.complete_request(connection, ex);
     }
 
-    static void on_connection_changed(void* user_data, MHD_Connection* /*connection*/,
-                                      void** /*context*/, MHD_ConnectionNotificationCode what)
+    static void on_connection_changed(void* user_data, MHD_Connection* connection, void** context,
+                                      MHD_ConnectionNotificationCode what)
     {
-        static_cast<impl*>(user_data)->on_connection(what);
+        static_cast<impl*>(user_data)->on_connection(connection, context, what);
     }
 
-    static void on_request_completed(void* user_data, MHD_Connection* /*connection*/,
-                                     void** context, MHD_RequestTerminationCode reason)
+    static void on_request_completed(void* user_data, MHD_Connection* connection, void** context,
+                                     MHD_RequestTerminationCode reason)
     {
         const std::unique_ptr<exchange> ex{static_cast<exchange*>(*context)};
         *context = nullptr;
@@ -374,8 +527,14 @@
         self.open_exchanges.erase(ex->id);
         self.receiving.erase(ex->id);
         self.held.remove(ex->id);
+        self.sending.erase({ex->replied_at, ex.get()});
         --self.unfinished_exchanges;
         self.last_activity = self.loop.now();
+        if (reason == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+            const open_connection& kept = connection_of(connection);
+            const auto received = received_bytes(kept.socket);
+            self.waiting.begin(kept.id, received.value_or(0), true, self.last_activity);
+        }
         if (reason == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
             self.log_unsent_response(*ex);
         }
@@ -421,6 +580,12 @@
         {MHD_OPTION_SOCK_ADDR, 0, &socket_address},
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<std::intptr_t>(impl_->limits.max_connections),
          nullptr},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(connection_buffer_bytes),
+         nullptr},
+        // Closes connections whose response is not read; requests are not affected while a response
+        // is awaited.
+        {MHD_OPTION_CONNECTION_TIMEOUT,
+         std::chrono::ceil<std::chrono::seconds>(impl_->limits.idle_timeout).count(), nullptr},
         {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
         {MHD_OPTION_NOTIFY_COMPLETED,
          reinterpret_cast<std::intptr_t>(&impl::on_request_completed), // NOLINT
@@ -448,6 +613,7 @@
                                   [self](io_interest /*ready*/) { self->run_daemon(); });
     impl_->poll_timer = impl_->loop.every(daemon_poll_period, [self] {
         self->drop_stalled();
+        self->close_expired();
         self->run_daemon();
     });
     // The loop keeps the callback when the server has been destroyed.
@@ -468,6 +634,7 @@
     exchange& ex = *found->second;
     impl_->open_exchanges.erase(found);
     ex.reply = std::move(reply);
+    impl_->hold_response(ex);
     if (ex.suspended) {
         ex.suspended = false;
         MHD_resume_connection(ex.connection);
@@ -479,6 +646,7 @@
 {
     impl_->limits = fit_descriptors(limits);
     impl_->held = held_bodies{limits.max_held_body_bytes};
+    impl_->waiting = waiting_connections{limits.header_timeout, limits.idle_timeout};
 }
 
 void server::report_to(metrics& counters)
--- a/src/settings/request_limits_fields.cpp
+++ b/src/settings/request_limits_fields.cpp
@@ -25,8 +25,12 @@
     out.max_body_bytes = size("max_body_bytes", out.max_body_bytes, max_bytes);
     out.max_held_body_bytes = size("max_held_body_bytes", out.max_held_body_bytes, max_bytes);
     out.max_connections = size("max_connections", out.max_connections, max_connections);
-    out.body_stall_time =
-        milliseconds{reader.number("body_stall_ms", {1, max_time_ms}, out.body_stall_time.count())};
+    const auto time = [&](const char* field, milliseconds& limit) {
+        limit = milliseconds{reader.number(field, {1, max_time_ms}, limit.count())};
+    };
+    time("body_stall_ms", out.body_stall_time);
+    time("header_timeout_ms", out.header_timeout);
+    time("idle_timeout_ms", out.idle_timeout);
     if (out.max_held_body_bytes < out.max_body_bytes) {
         reader.report("max_held_body_bytes", "must not be less than max_body_bytes");
     }
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -503,6 +503,12 @@
     return found != impl_->outgoing_connections.end() && found->second->ready;
 }
 
+std::size_t transport::pending_bytes(const instance_id& to) const
+{
+    const auto found = impl_->outgoing_connections.find(to);
+    return found == impl_->outgoing_connections.end() ? 0 : found->second->queue.bytes();
+}
+
 void transport::add_peer(const peer_address& peer)
 {
     impl_->addresses.emplace(peer.id, to_sockaddr(peer.address));
--- /dev/null
+++ b/tests/e2e/test_connection_crowds.py
@@ -0,0 +1,160 @@
+"""Clients that open connections and send no whole request, or do not read the responses: no process exceeds its memory
+or its descriptors, and an ordinary request is answered while their connections are open."""
+
+import http.client
+import json
+import signal
+import socket
+import threading
+import time
+
+from crowds import (CALLER_PORT, CONTROL_PORT, CROWD, ENTRY, HOST, JOB, LEGAL_BODY, LIMITS, READY_PORT, SCHEDULERS, CrowdCase,
+                    padded_job, request_head, run_tests)
+from fleet import wait_for
+from test_job_shutdown import CONFIG, request
+
+HALF_REQUEST_LINE = b"POST /queue/00000"
+HEAD = request_head("POST", "/queue/00000000000000a1", f"Content-Length: {len(JOB)}")
+# 15 KB of headers, without the empty line at the end.
+LONG_HEAD = HEAD[:-2] + b"".join(b"X-%d: %s\r\n" % (n, b"y" * 1000) for n in range(14))
+SHORT_LINES = HEAD[:-2] + b"".join(b"a: b\r\n" for n in range(2000))
+# A document of about 400 KB, which GET /config returns whole.
+ROUTES = 1700
+PORTS = {"callers": (ENTRY, CALLER_PORT), "readiness": (ENTRY, READY_PORT), "control": (SCHEDULERS[0], CONTROL_PORT)}
+
+
+def large_document():
+    route = CONFIG["routes"][0]
+    more = [route | {"name": f"r-{n}", "path_prefix": f"/queue-{n}/"} for n in range(ROUTES)]
+    return json.dumps(CONFIG | {"version": 2, "routes": [route, *more]})
+
+
+class ConnectionCrowds(CrowdCase):
+    def check_ordinary_requests(self):
+        wait_for("an answer of the readiness port", lambda: request(ENTRY, READY_PORT, "GET", "/readyz") == 200)
+        wait_for("an answer of the control port",
+                 lambda: request(SCHEDULERS[0], CONTROL_PORT, "GET", "/config") == 200)
+        wait_for("an answer of the callers' port", lambda: self.submit(1) == 200)
+
+    def check_crowd(self, port, data):
+        """The crowd is larger than the number of connections that the port may have."""
+        self.start_job_service()
+        address, number = PORTS[port]
+        for _ in range(2):
+            self.send_crowd(address, number, [data] * CROWD)
+            self.check_ordinary_requests()
+            self.check_processes()
+
+    def test_kept_alive_connection_outlives_a_crowd(self):
+        self.start_job_service()
+        ordinary = http.client.HTTPConnection(ENTRY, CALLER_PORT, timeout=15)
+        for data in [b"", HALF_REQUEST_LINE, LONG_HEAD]:
+            ordinary.request("POST", "/queue/0000000000000001", JOB, HOST)
+            self.assertEqual(ordinary.getresponse().read() and 200, 200)
+            used = ordinary.sock
+            self.send_crowd(ENTRY, CALLER_PORT, [data] * CROWD)
+            self.check_ordinary_requests()
+            self.assertIs(ordinary.sock, used)
+        ordinary.request("POST", "/queue/0000000000000001", JOB, HOST)
+        self.assertEqual(ordinary.getresponse().status, 200)
+        self.assertIs(ordinary.sock, used)
+        ordinary.close()
+
+    def test_answers_that_are_not_read(self):
+        self.start_job_service()
+        wait_for("the document", lambda: request(SCHEDULERS[0], CONTROL_PORT, "PUT", "/config",
+                                                 body=large_document()) == 200)
+        ask = b"GET /config HTTP/1.1\r\nHost: x\r\n\r\n"
+        for address in SCHEDULERS:
+            # Each connection has a small receive buffer and asks many times.
+            crowd = self.send_crowd(address, CONTROL_PORT, [])
+            for _ in range(CROWD):
+                s = socket.socket()
+                s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                s.settimeout(10)
+                s.connect((address, CONTROL_PORT))
+                s.sendall(ask * 50)
+                crowd.sockets.append(s)
+        self.check_ordinary_requests()
+        self.check_processes()
+
+    def test_crowds_of_several_kinds_while_the_leader_changes(self):
+        self.start_job_service()
+        unfinished = request_head("POST", "/queue/00000000000000a2", f"Content-Length: {LEGAL_BODY}") \
+            + padded_job(LEGAL_BODY)[:-1]
+        for address in SCHEDULERS:
+            for port in PORTS.values():
+                for data in [HALF_REQUEST_LINE, LONG_HEAD, unfinished]:
+                    self.send_crowd(*port, [data] * (CROWD // 3))
+            self.processes[address].send_signal(signal.SIGSTOP)
+            wait_for("an ordinary request", lambda: self.submit(1) == 200)
+            self.processes[address].send_signal(signal.SIGCONT)
+        self.check_ordinary_requests()
+        self.check_processes()
+
+
+class HeaderTimeout(CrowdCase):
+    """A head that is not received whole in time is dropped, however its bytes arrive."""
+    http_changes = {"header_timeout_ms": 300, "idle_timeout_ms": 2000}
+
+    def check_closed(self, sockets):
+        for s in sockets:
+            s.settimeout(20)
+            try:
+                self.assertEqual(s.recv(4096), b"")
+            except ConnectionError:
+                pass
+
+    def test_half_a_head(self):
+        self.start_job_service()
+        for address, port in PORTS.values():
+            crowd = self.send_crowd(address, port, [HALF_REQUEST_LINE] * 8 + [b""] * 8)
+            self.check_closed(crowd.sockets)
+
+    def test_a_head_that_trickles(self):
+        self.start_job_service()
+        crowd = self.send_crowd(ENTRY, CALLER_PORT, [b"G"] * 8)
+        stop = threading.Event()
+
+        def trickle():
+            while not stop.wait(0.05):
+                for s in crowd.sockets:
+                    try:
+                        s.send(b"x")
+                    except OSError:
+                        pass
+
+        sender = threading.Thread(target=trickle)
+        sender.start()
+        try:
+            self.check_closed(crowd.sockets)
+        finally:
+            stop.set()
+            sender.join()
+
+    def test_idle_connection_is_kept_beyond_the_header_timeout(self):
+        self.start_job_service()
+        connection = http.client.HTTPConnection(ENTRY, CALLER_PORT, timeout=15)
+        for _ in range(3):
+            connection.request("POST", "/queue/0000000000000001", JOB, HOST)
+            response = connection.getresponse()
+            response.read()
+            self.assertEqual(response.status, 200)
+            used = connection.sock
+            time.sleep(1)
+            self.assertIs(connection.sock, used)
+        connection.close()
+
+
+def add_tests():
+    for port in PORTS:
+        for kind, data in {"nothing": b"", "half a request line": HALF_REQUEST_LINE, "long heads": LONG_HEAD,
+                           "heads of short lines": SHORT_LINES}.items():
+            name = f"test_{port}_{kind}".replace(" ", "_")
+            setattr(ConnectionCrowds, name, lambda self, port=port, data=data: self.check_crowd(port, data))
+
+
+add_tests()
+
+if __name__ == "__main__":
+    run_tests()
