--- a/src/json/untrusted.cpp
+++ b/src/json/untrusted.cpp
@@ -21,6 +21,7 @@
             escaped_ = !escaped_ && c == '\\';
             return true;
         }
+        values_ += c == '[' || c == '{' || c == ',' ? 1 : 0;
         if (c == '[' || c == '{') {
             ++depth_;
         } else if (c == ']' || c == '}') {
@@ -33,6 +34,8 @@
         return true;
     }
     std::size_t depth() const noexcept { return depth_; }
+    /** @return an upper bound on the number of values so far, but for one at the top. */
+    std::size_t values() const noexcept { return values_; }
     /** @return whether the position is outside of all strings, objects and arrays. */
     bool at_top() const noexcept { return depth_ == 0 && !in_string_; }
 
@@ -40,13 +43,14 @@
     bool in_string_{false};
     bool escaped_{false};
     std::size_t depth_{0};
+    std::size_t values_{0};
 };
 
-bool exceeds_max_depth(std::string_view text) noexcept
+bool exceeds_limits(std::string_view text) noexcept
 {
     structure_scanner scanner;
     for (const char c : text) {
-        if (!scanner.advance(c) || scanner.depth() > max_depth) {
+        if (!scanner.advance(c) || scanner.depth() > max_depth || scanner.values() > max_values) {
             return true;
         }
     }
@@ -69,7 +73,7 @@
     structure_scanner scanner;
     std::size_t begin = 0;
     for (std::size_t i = 0; i < text.size(); ++i) {
-        if (!scanner.advance(text[i])) {
+        if (!scanner.advance(text[i]) || scanner.values() > max_values) {
             return std::nullopt;
         }
         if (text[i] == separator && scanner.at_top()) {
@@ -120,7 +124,7 @@
 
 std::optional<nlohmann::json> parse_untrusted(std::string_view text)
 {
-    if (exceeds_max_depth(text)) {
+    if (exceeds_limits(text)) {
         return std::nullopt;
     }
     constexpr bool allow_exceptions = false;
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -406,3 +406,20 @@
     CHECK(refuses([](report& r) { r.pool = pool_id{"\xff"}; }));
     CHECK(refuses([](report& r) { r.labels.assign(65, "a"); }));
 }
+
+// Fails if a text of a few megabytes takes several hundred when it is parsed.
+TEST_CASE("odd entries: a text with millions of values is refused before it is parsed")
+{
+    const auto list = [](std::size_t values) {
+        std::string text = "[";
+        for (std::size_t i = 1; i < values; ++i) {
+            text += "{},";
+        }
+        return text + "{}]";
+    };
+    CHECK(json::parse_untrusted(list(json::max_values / 2 - 1)));
+    CHECK_FALSE(json::parse_untrusted(list(json::max_values)));
+    CHECK_FALSE(json::parse_untrusted_lists(R"({"a":)" + list(json::max_values) + "}"));
+    // Characters of strings do not count.
+    CHECK(json::parse_untrusted('"' + std::string(json::max_values + 1, ',') + '"'));
+}
