Peers' port: limit what senders that have not identified themselves may hold

Cause: the first frame of a connection, before its authentication can be checked, could have the largest size, and nothing closed a connection without a hello.

Change: until the hello, frames have at most 16 KiB; at most 64 connections without a hello are open, the oldest is closed first, and each is closed after 5 s.

Evidence: test_frames_from_unknown_senders failed on, passes now.

--- a/include/fescuestream/wire/frame.h
+++ b/include/fescuestream/wire/frame.h
@@ -50,15 +50,21 @@
 /** Decodes and verifies frames from a byte stream. */
 class frame_reader {
 public:
-    explicit frame_reader(const frame_key& key) : key_{key} {}
+    /** @param max_payload larger payloads are refused until the next rekey(). */
+    explicit frame_reader(const frame_key& key, std::size_t max_payload = max_frame_bytes)
+        : key_{key}, max_payload_{max_payload}
+    {
+    }
     void append(std::string_view bytes);
     /** @return the next payload, nullopt when more bytes are needed, or an error. */
     result<std::optional<std::string>> next();
-    /** Sets the key for subsequent frames and resets the sequence number. */
+    /** Sets the key for subsequent frames, which may have the maximum size, and resets the sequence
+     * number. */
     void rekey(const frame_key& key);
 
 private:
     frame_key key_;
+    std::size_t max_payload_;
     std::uint64_t sequence_{0};
     std::string buffer_;
     std::size_t consumed_{0};
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -95,7 +95,7 @@
         return std::optional<std::string>{};
     }
     std::memcpy(&size, unread.data(), sizeof size);
-    if (size > max_frame_bytes) {
+    if (size > max_payload_) {
         return error{error_kind::bad_request, "frame length exceeds the maximum frame size"};
     }
     const std::size_t frame_bytes = sizeof size + tag_bytes + size;
@@ -124,6 +124,7 @@
 void frame_reader::rekey(const frame_key& key)
 {
     key_ = key;
+    max_payload_ = max_frame_bytes;
     sequence_ = 0;
 }
 
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -28,6 +28,10 @@
 constexpr milliseconds slow_backlog{200};
 constexpr std::size_t read_buffer_bytes = 64U << 10U;
 constexpr std::size_t max_datagram_bytes = 60000;
+/** Limits on incoming connections whose sender has not identified itself. */
+constexpr std::size_t max_hello_bytes = 16U << 10U;
+constexpr std::size_t max_unidentified = 64;
+constexpr milliseconds hello_timeout{5000};
 constexpr std::string_view hello_context = "fescuestream hello";
 constexpr std::string_view datagram_context = "fescuestream heartbeat";
 
@@ -60,8 +64,9 @@
     frame_reader reader;
     std::optional<hello> peer;
     part_collector parts;
+    mono_time accepted_at{};
 
-    explicit incoming_connection(const frame_key& key) : reader{key} {}
+    explicit incoming_connection(const frame_key& key) : reader{key, max_hello_bytes} {}
 };
 
 } // namespace
@@ -107,6 +112,7 @@
     void connect_missing_peers()
     {
         drop_silent_peers();
+        close_unidentified(loop.now() - hello_timeout);
         for (const auto& [id, address] : addresses) {
             if (!outgoing_connections.contains(id)) {
                 connect_to(id, address);
@@ -281,7 +287,37 @@
             connection->fd = std::move(fd);
             connection->io = loop.watch(
                 key, {true, false}, [this, key](io_interest /*ready*/) { handle_incoming(key); });
+            connection->accepted_at = loop.now();
             incoming_connections[key] = std::move(connection);
+            limit_unidentified();
+        }
+    }
+
+    /** Closes the connections that were accepted before @p time and have sent no hello. */
+    void close_unidentified(mono_time time)
+    {
+        std::erase_if(incoming_connections, [&](const auto& entry) {
+            return !entry.second->peer && entry.second->accepted_at < time;
+        });
+    }
+
+    /** Closes the oldest connection without a hello if there are too many of them. */
+    void limit_unidentified()
+    {
+        std::size_t count = 0;
+        auto oldest = incoming_connections.end();
+        for (auto at = incoming_connections.begin(); at != incoming_connections.end(); ++at) {
+            if (at->second->peer) {
+                continue;
+            }
+            ++count;
+            if (oldest == incoming_connections.end() ||
+                at->second->accepted_at < oldest->second->accepted_at) {
+                oldest = at;
+            }
+        }
+        if (count > max_unidentified) {
+            incoming_connections.erase(oldest);
         }
     }
 
--- a/tests/e2e/test_connection_crowds.py
+++ b/tests/e2e/test_connection_crowds.py
@@ -5,11 +5,12 @@
 import json
 import signal
 import socket
+import struct
 import threading
 import time
 
-from crowds import (CALLER_PORT, CONTROL_PORT, CROWD, ENTRY, HOST, JOB, LEGAL_BODY, LIMITS, READY_PORT, SCHEDULERS, CrowdCase,
-                    padded_job, request_head, run_tests)
+from crowds import (CALLER_PORT, CONTROL_PORT, CROWD, ENTRY, HOST, JOB, LEGAL_BODY, LIMITS, MIB, PEER_PORT, READY_PORT, SCHEDULERS,
+                    CrowdCase, padded_job, request_head, run_tests)
 from fleet import wait_for
 from test_job_shutdown import CONFIG, request
 
@@ -78,6 +79,23 @@
         self.check_ordinary_requests()
         self.check_processes()
 
+    def test_frames_from_unknown_senders(self):
+        """The peers' port: frames of the largest size whose sender has not identified itself."""
+        self.start_job_service()
+        for address in [SCHEDULERS[0], ENTRY]:
+            self.send_crowd(address, PEER_PORT, [struct.pack("<I", 60 * MIB) + b" " * MIB] * CROWD)
+            self.send_crowd(address, PEER_PORT, [b""] * CROWD)
+        self.check_ordinary_requests()
+        self.check_processes()
+
+    def test_documents_with_many_values(self):
+        self.start_job_service()
+        document = b"[" + b"{}," * (LIMITS["max_body_bytes"] // 3 - 2) + b"{}]"
+        for address in SCHEDULERS:
+            self.assertEqual(request(address, CONTROL_PORT, "PUT", "/config", body=document), 400)
+        self.check_ordinary_requests()
+        self.check_processes()
+
     def test_crowds_of_several_kinds_while_the_leader_changes(self):
         self.start_job_service()
         unfinished = request_head("POST", "/queue/00000000000000a2", f"Content-Length: {LEGAL_BODY}") \
