Control port: bound the memory of the servers' reports

Cause: every scheduler keeps the latest report of every server id, and a report can have 64 labels of 4 KB.

Reports from other schedulers are bounded alike (counter reports_refused).

--- a/src/fleet/control_api.cpp
+++ b/src/fleet/control_api.cpp
@@ -59,6 +59,11 @@
 
 void control_api::handle(const jobs::server_report& report, const reply_function& reply)
 {
+    if (!driver_.has_room_for(report)) {
+        reply(error_reply(service_unavailable,
+                          {error_kind::not_serving, "too many servers have reported"}));
+        return;
+    }
     if (driver_.on_report(report)) {
         // The other schedulers must know that a server is draining before that server gets the
         // reply to its report.
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -93,8 +93,43 @@
     }
 }
 
+namespace {
+
+/** @return the approximate memory of a server's view and its report in bytes. */
+std::size_t estimate_bytes(const jobs::server_report& report)
+{
+    std::size_t bytes = sizeof(server_view) + report.id.str().size() + report.address.size() +
+                        report.pool.str().size() + report.data_centre.str().size() +
+                        report.rack.str().size();
+    for (const std::string& label : report.labels) {
+        bytes += sizeof label + label.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
+bool run_driver::has_room_for(const jobs::server_report& report) const
+{
+    const auto known = servers_.find(report.id);
+    const std::size_t counted = known == servers_.end() ? 0 : known->second.counted_bytes;
+    const std::size_t needed = estimate_bytes(report);
+    return needed <= counted ||
+           counted_bytes_ - counted + needed <= context_.settings.max_report_bytes;
+}
+
+void run_driver::erase_server(std::map<server_id, server_view>::iterator server)
+{
+    counted_bytes_ -= server->second.counted_bytes;
+    servers_.erase(server);
+}
+
 bool run_driver::on_report(const jobs::server_report& report, milliseconds age)
 {
+    if (!has_room_for(report)) {
+        context_.counters.count("reports_refused");
+        return false;
+    }
     const mono_time reported_at = context_.now() - age;
     auto [entry, is_new] = servers_.try_emplace(report.id);
     server_view& view = entry->second;
@@ -122,6 +157,8 @@
         reset_after_restart(view);
     }
     view.report = report;
+    counted_bytes_ += estimate_bytes(report) - view.counted_bytes;
+    view.counted_bytes = estimate_bytes(report);
     view.capacity_outdated = false;
     view.last_report_at = std::max(view.last_report_at, reported_at);
     view.reported_at = std::max(view.reported_at, reported_at);
@@ -247,7 +284,7 @@
     // The next leader polls a server that has runs: the notice may name one that replaced the
     // server that has ended.
     if (known && !leading_ && !context_.state().runs.contains(server.id)) {
-        servers_.erase(found);
+        erase_server(found);
     }
 }
 
@@ -413,7 +450,7 @@
     for (const server_id& id : expired) {
         log::info("server_forgotten", {{"server", id.str()}});
         ended_servers_.push_back({id, servers_.at(id).report.incarnation_id});
-        servers_.erase(id);
+        erase_server(servers_.find(id));
     }
     resolve_lost_runs();
     if (!pending_ends_.ends.empty()) {
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -48,6 +48,9 @@
      * leaving state changed.
      */
     bool on_report(const jobs::server_report& report, milliseconds age = milliseconds{0});
+    /** @return whether the reports of all servers stay within their maximum memory with this one.
+     * Other reports are ignored. */
+    bool has_room_for(const jobs::server_report& report) const;
     /** Handles a server's notice that it is shutting down now. */
     void on_shutdown_notice(const server_id& id);
     /** Records that an order for a server's machine shuts the server down; the other instances are
@@ -176,7 +179,11 @@
 
     core_context& context_;
     std::function<void()> capacity_changed_;
+    void erase_server(std::map<server_id, server_view>::iterator server);
+
     std::map<server_id, server_view> servers_;
+    /** Sum over the servers. */
+    std::size_t counted_bytes_{0};
     /** Server of each task's current run. */
     std::unordered_map<jobs::task_id, server_id> run_locations_;
     jobs::end_runs pending_ends_;
--- a/src/fleet/server_view.h
+++ b/src/fleet/server_view.h
@@ -114,6 +114,8 @@
 
 struct server_view {
     jobs::server_report report;
+    /** Memory of the view and its report that run_driver counts for it. */
+    std::size_t counted_bytes{0};
     mono_time last_report_at{};
     /** When the first report reached this instance. */
     mono_time first_seen_at{};
--- a/tests/e2e/crowds.py
+++ b/tests/e2e/crowds.py
@@ -27,9 +27,10 @@
 # Long enough that no connection is closed by them during a test; tests of these limits set lower ones.
 TIMEOUTS = {"header_timeout_ms": 600000, "idle_timeout_ms": 600000}
 CROWD = 120
-# Memory of the stored jobs and of the log's entries, for schedulers.
+# Memory of the stored jobs, the log's entries and the servers' reports, for schedulers.
 MAX_JOB_BYTES = 4 * MIB
 MAX_LOG_BYTES = 2 * MIB
+MAX_REPORT_BYTES = 1 * MIB
 # A process uses less than 16 MiB by itself and holds each counted byte three times at most: in the request, in the frame
 # for the leader, and while a buffer grows. A connection takes up to 32 KiB.
 MEMORY_BOUND = 16 * MIB + 3 * LIMITS["max_held_body_bytes"] + CROWD * 32 * KIB
@@ -106,7 +107,9 @@
         file = self.folder / f"{name}.json"
         earlier = {"http": LIMITS} | ({"max_job_bytes": MAX_JOB_BYTES} if "data_folder" in settings else {})
         current = {"http": LIMITS | TIMEOUTS | self.http_changes}
-        current |= {"max_job_bytes": MAX_JOB_BYTES, "max_log_bytes": MAX_LOG_BYTES} if "data_folder" in settings else {}
+        if "data_folder" in settings:
+            current |= {"max_job_bytes": MAX_JOB_BYTES, "max_log_bytes": MAX_LOG_BYTES,
+                        "max_report_bytes": MAX_REPORT_BYTES}
         for limits in [current, earlier, {}]:
             file.write_text(json.dumps(settings | limits))
             check = subprocess.run([BUILD / "fescued", "--config", file, "--check"], capture_output=True, check=False)
--- a/tests/e2e/test_connection_crowds.py
+++ b/tests/e2e/test_connection_crowds.py
@@ -96,6 +96,21 @@
         self.check_ordinary_requests()
         self.check_processes()
 
+    def test_reports_of_many_servers(self):
+        """Every server sends a report with the largest legal labels."""
+        self.start_job_service()
+        report = {"service": "s", "address": "127.0.0.1:1", "zone": "north", "version": "v1", "slots": 8,
+                  "state": "ready", "warmup_left_ms": 0, "capacity": {"cpu": 1, "mem_mb": 1}, "seq": 1, "born": 1,
+                  "wall_clock_ms": 1, "labels": [f"{n:04096}" for n in range(64)]}
+        statuses = {request(address, CONTROL_PORT, "PUT", f"/instances/i-{n}", body=json.dumps(report))
+                    for n in range(CROWD) for address in SCHEDULERS[:2]}
+        self.assertTrue(statuses <= {200, 503}, statuses)
+        small = report | {"labels": ["a"], "seq": 2}
+        self.assertEqual(
+            request(SCHEDULERS[0], CONTROL_PORT, "PUT", "/instances/i-0", body=json.dumps(small)), 200)
+        self.check_ordinary_requests()
+        self.check_processes()
+
     def test_crowds_of_several_kinds_while_the_leader_changes(self):
         self.start_job_service()
         unfinished = request_head("POST", "/queue/00000000000000a2", f"Content-Length: {LEGAL_BODY}") \
