--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -102,7 +102,7 @@
                         report.pool.str().size() + report.data_centre.str().size() +
                         report.rack.str().size();
     for (const std::string& label : report.labels) {
-        bytes += sizeof label + label.size();
+        bytes += sizeof(std::string) + label.size();
     }
     return bytes;
 }
