Control port: bound the stored maintenance waves and data centres out of service

Callers saw: 80 waves of 5,000 machines took a scheduler to 137 MB, 1,000 orders for data centres with names of 12 KB to 62 MB (lowered limits, bound 33.3 MB); both stayed in the state for good.

Cause: nothing bounded them, and a wave kept its machines after it was done.

Change: a wave that is done keeps its id only; new waves are refused with 503 while the waves take 4 MiB; at most 1,000 data centres with names of up to 1,024 bytes are out of service.

Evidence: test_control_crowds.py, both tests failed before and pass now.

--- a/src/fleet/control_api.cpp
+++ b/src/fleet/control_api.cpp
@@ -17,6 +17,34 @@
 constexpr int service_unavailable = 503;
 /** Below the second after which operators' clients try another instance. */
 constexpr milliseconds proposal_timeout{900};
+/** Memory of the maintenance waves, about 30,000 machines that await maintenance. */
+constexpr std::size_t max_wave_bytes = 4U << 20U;
+constexpr std::size_t bytes_per_wave_machine = 96;
+constexpr std::size_t bytes_per_wave = 192;
+/** Limits on the data centres that operators take out of service. */
+constexpr std::size_t max_data_centres = 1000;
+constexpr std::size_t max_data_centre_bytes = 1024;
+
+std::size_t estimate_wave_bytes(const jobs::state& state)
+{
+    std::size_t bytes = 0;
+    for (const auto& [id, wave] : state.waves) {
+        bytes += bytes_per_wave + id.size();
+        for (const auto& [machine, m] : wave.machines) {
+            bytes += bytes_per_wave_machine + machine.size();
+        }
+    }
+    return bytes;
+}
+
+std::size_t estimate_wave_bytes(const start_maintenance& m)
+{
+    std::size_t bytes = bytes_per_wave + m.id.size();
+    for (const std::string& machine : m.machines) {
+        bytes += bytes_per_wave_machine + machine.size();
+    }
+    return bytes;
+}
 
 wire::forwarded_reply make_reply(int status, std::string body)
 {
@@ -189,6 +217,18 @@
 
 void control_api::handle(const set_data_centre& m, const reply_function& reply)
 {
+    const auto& out_of_service = context_.state().out_of_service;
+    if (!m.in_service && m.id.str().size() > max_data_centre_bytes) {
+        reply(error_reply(bad_request,
+                          {error_kind::bad_request, "the name of the data centre is too long"}));
+        return;
+    }
+    if (!m.in_service && !out_of_service.contains(m.id) &&
+        out_of_service.size() >= max_data_centres) {
+        reply(error_reply(service_unavailable,
+                          {error_kind::not_serving, "too many data centres are out of service"}));
+        return;
+    }
     log::info("data_centre_order", {{"data_centre", m.id.str()}, {"in_service", m.in_service}});
     propose(jobs::set_data_centre{m.id, m.in_service}, "data_centre", reply);
 }
@@ -199,6 +239,13 @@
                                {"machines", m.machines.size()},
                                {"duration_ms", m.duration_ms},
                                {"most_at_once", m.max_concurrent}});
+    const jobs::state& state = context_.state();
+    if (!state.waves.contains(m.id) &&
+        estimate_wave_bytes(state) + estimate_wave_bytes(m) > max_wave_bytes) {
+        reply(error_reply(service_unavailable,
+                          {error_kind::not_serving, "too many machines await maintenance"}));
+        return;
+    }
     propose(jobs::start_maintenance{m.id, m.machines, m.duration_ms, m.max_concurrent, wall_now()},
             "upkeep", reply);
 }
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -400,6 +400,10 @@
     }
     found->second.started = true;
     found->second.done = found->second.done || cmd.done || cmd.gone;
+    if (wave->second.is_done()) {
+        // An empty wave is done. Only its state is asked for from now on.
+        wave->second.machines.clear();
+    }
     return {std::nullopt, true};
 }
 
