Entry: queue at most twice the held bodies for a peer

A leader that is alive but reads slowly could make an entry of 160 MB queue 96 MB of calls whose callers had been answered meanwhile. Beyond twice max_held_body_bytes the connection is reopened and the calls that still wait are sent again.

--- a/include/fescuestream/wire/transport.h
+++ b/include/fescuestream/wire/transport.h
@@ -71,6 +71,8 @@
     /** @return all known peers, connected or not. */
     std::vector<instance_id> known_peers() const;
     /** @return bytes sent over TCP and UDP so far. */
+    /** Limits the bytes that wait to be sent to a peer; beyond it the connection is reopened. */
+    void limit_pending(std::size_t max_bytes);
     /** @return the number of bytes that wait to be sent to a peer. */
     std::size_t pending_bytes(const instance_id& to) const;
     std::uint64_t bytes_sent() const noexcept;
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -106,6 +106,8 @@
                         [this](const wire::hello& /*who*/) { forward_unsent(); },
                         [this](const instance_id& id) { on_peer_disconnected(id); },
                         [](wire::hello& /*out*/) {}, [](wire::ping& /*out*/) {}});
+        // Calls of which the callers have been answered meanwhile stay in the queue.
+        peers->limit_pending(2 * settings.request_limits.max_held_body_bytes);
         if (auto fault = peers->start()) {
             return fault;
         }
--- a/src/fleet/peer_links.h
+++ b/src/fleet/peer_links.h
@@ -40,6 +40,7 @@
 
     status start();
     bool send(const instance_id& to, const wire::message& m) { return transport_->send(to, m); }
+    void limit_pending(std::size_t max_bytes) { transport_->limit_pending(max_bytes); }
     std::size_t pending_bytes(const instance_id& to) const { return transport_->pending_bytes(to); }
     bool is_connected(const instance_id& to) const { return transport_->connected(to); }
     /** Writes the messages that were queued in this iteration of the event loop. */
--- a/src/wire/transport.cpp
+++ b/src/wire/transport.cpp
@@ -20,8 +20,9 @@
 namespace {
 
 constexpr milliseconds reconnect_period{200};
-/** Limit on bytes buffered for a peer; beyond it the connection is closed and reopened. */
-constexpr std::size_t max_pending_bytes = 96U << 20U;
+/** Limit on bytes buffered for a peer unless the owner sets one; beyond it the connection is closed
+ * and reopened. */
+constexpr std::size_t default_max_pending_bytes = 96U << 20U;
 constexpr int listen_backlog = 128;
 /** An unwritten backlog that takes longer than this, a heartbeat interval of the replicated log, is
  * logged once it is written. */
@@ -92,6 +93,7 @@
     std::map<instance_id, mono_time> last_received;
     bool writes_held{false};
     std::set<instance_id> peers_to_flush;
+    std::size_t max_pending_bytes{default_max_pending_bytes};
     /** 0: silent connections are not closed. */
     milliseconds silence_timeout{0};
 
@@ -539,6 +541,11 @@
     return found != impl_->outgoing_connections.end() && found->second->ready;
 }
 
+void transport::limit_pending(std::size_t max_bytes)
+{
+    impl_->max_pending_bytes = max_bytes;
+}
+
 std::size_t transport::pending_bytes(const instance_id& to) const
 {
     const auto found = impl_->outgoing_connections.find(to);
