Dispatcher: look at a bounded number of a step's waiting tasks one by one

Callers saw: after 25 documents of under 100 bytes, each with 20,000 long-running tasks that no server can run, no ordinary caller was answered: the trial at full size waited five minutes, leaders changed 191 times.

Cause: a round records when each long-running task began to wait and looks each of them up again, 500,000 hash entries: 0.8 to 1.1 s each for gather_jobs and start_tasks (slow_part), so that an iteration of the event loop took over 2 s, longer than the election timeout.

Change: the first 512 waiting tasks of a step are recorded and looked up; the others follow when those have started.

Unit: "dispatcher: of a step's waiting tasks a bounded number is recorded".

--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -345,7 +345,8 @@
                     waits = true;
                     round.waiting_tasks[pool] += static_cast<std::size_t>(waiting);
                     if (spec.long_running) {
-                        record_waiting_tasks(id, number, static_cast<std::uint32_t>(i), st.tasks);
+                        waiting_tasks_.record_step({id, number, static_cast<std::uint32_t>(i), 0},
+                                                   st.tasks, last_round_);
                     }
                     const std::int64_t startable =
                         claim_within_cap(round, j.account, spec.need, waiting);
@@ -370,16 +371,6 @@
     }
 }
 
-void dispatcher::record_waiting_tasks(const jobs::job_id& id, std::uint32_t occurrence,
-                                      std::uint32_t step, const std::vector<jobs::task>& tasks)
-{
-    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].phase == jobs::task_phase::waiting) {
-            waiting_tasks_.record_waiting({id, occurrence, step, i}, last_round_);
-        }
-    }
-}
-
 queued_job dispatcher::make_queued_job(const jobs::job_id& id, const jobs::job& j) const
 {
     queued_job s;
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -73,8 +73,6 @@
     void start_occurrences();
     void gather_servers(scheduling_round& round);
     void gather_jobs(scheduling_round& round);
-    void record_waiting_tasks(const jobs::job_id& id, std::uint32_t occurrence, std::uint32_t step,
-                              const std::vector<jobs::task>& tasks);
     scheduler::queued_job make_queued_job(const jobs::job_id& id, const jobs::job& j) const;
     void start_tasks(scheduling_round& round, const pool_id& pool);
     void start_job(scheduling_round& round, const jobs::job_id& id,
--- a/src/fleet/job_placement.cpp
+++ b/src/fleet/job_placement.cpp
@@ -148,9 +148,14 @@
                                        const std::vector<jobs::task>& tasks)
 {
     scheduler::unplaced_tasks unplaced{spec.label, spec.required_capacity(), spec.max_per_server};
-    for (task_id task = first; task.index < tasks.size(); ++task.index) {
-        const bool waits = tasks[task.index].phase == jobs::task_phase::waiting;
-        if (waits && waiting_tasks_.waiting_time(task, round.now) >= max_wait_before_move) {
+    std::size_t waiting = 0;
+    for (task_id task = first; task.index < tasks.size() && waiting < max_recorded_tasks_per_step;
+         ++task.index) {
+        if (tasks[task.index].phase != jobs::task_phase::waiting) {
+            continue;
+        }
+        ++waiting;
+        if (waiting_tasks_.waiting_time(task, round.now) >= max_wait_before_move) {
             ++unplaced.tasks;
         }
     }
--- a/src/fleet/waiting_tasks.cpp
+++ b/src/fleet/waiting_tasks.cpp
@@ -48,6 +48,19 @@
     waiting_since_.try_emplace(task, now);
 }
 
+void waiting_tasks::record_step(const jobs::task_id& first, std::span<const jobs::task> tasks,
+                                mono_time now)
+{
+    std::size_t recorded = 0;
+    jobs::task_id task = first;
+    for (; task.index < tasks.size() && recorded < max_recorded_tasks_per_step; ++task.index) {
+        if (tasks[task.index].phase == jobs::task_phase::waiting) {
+            record_waiting(task, now);
+            ++recorded;
+        }
+    }
+}
+
 milliseconds waiting_tasks::waiting_time(const jobs::task_id& task, mono_time now) const
 {
     const auto found = waiting_since_.find(task);
--- a/src/fleet/waiting_tasks.h
+++ b/src/fleet/waiting_tasks.h
@@ -10,7 +10,9 @@
 
 #include "fescuestream/jobs/state.h"
 
+#include <cstddef>
 #include <map>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -23,9 +25,16 @@
     std::string_view exclusion;
 };
 
+/** Tasks of a step that are looked at one by one. A small document may describe a hundred thousand
+ * tasks; looking at all of them in each round would keep the leader from serving anyone. */
+inline constexpr std::size_t max_recorded_tasks_per_step = 512;
+
 class waiting_tasks {
 public:
     void clear() { waiting_since_.clear(); }
+    std::size_t size() const noexcept { return waiting_since_.size(); }
+    /** Records the first waiting tasks of a step. @param first the step's first task. */
+    void record_step(const jobs::task_id& first, std::span<const jobs::task> tasks, mono_time now);
     /** Records that a task waits now; later calls for the same task have no effect. */
     void record_waiting(const jobs::task_id& task, mono_time now);
     void record_start(const jobs::task_id& task) { waiting_since_.erase(task); }
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -1,4 +1,5 @@
 #include "fakes/scheduling_leader.h"
+#include "fleet/waiting_tasks.h"
 
 #include <algorithm>
 #include <memory>
@@ -178,3 +179,28 @@
         CHECK(records.at(task).losses()[0].alone == s.is_evidence);
     }
 }
+
+// Fails if a small document that describes many long-running tasks keeps the leader busy.
+TEST_CASE("dispatcher: of a step's waiting tasks a bounded number is recorded")
+{
+    std::vector<jobs::task> tasks(20'000);
+    tasks[0].phase = jobs::task_phase::running;
+    waiting_tasks waiting;
+    const jobs::task_id first{jobs::job_id{1}, 0, 0, 0};
+    waiting.record_step(first, tasks, mono_time{1h});
+    CHECK(waiting.size() == max_recorded_tasks_per_step);
+    const auto waited = [&](std::uint32_t index) {
+        return waiting.waiting_time({jobs::job_id{1}, 0, 0, index}, mono_time{1h} + 3s);
+    };
+    CHECK(waited(0) == 0s);
+    CHECK(waited(1) == 3s);
+    CHECK(waited(max_recorded_tasks_per_step) == 3s);
+    CHECK(waited(max_recorded_tasks_per_step + 1) == 0s);
+    // The others are recorded once the first ones have started.
+    for (std::size_t i = 0; i < max_recorded_tasks_per_step; ++i) {
+        tasks[i].phase = jobs::task_phase::running;
+    }
+    waiting.clear();
+    waiting.record_step(first, tasks, mono_time{1h});
+    CHECK(waited(max_recorded_tasks_per_step + 1) == 3s);
+}
