--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -29,8 +29,9 @@
 /** Connections are closed while less than this part of them is left, so that new callers find one.
  */
 constexpr std::size_t spare_connections_divisor = 16;
-/** Memory of a connection for the head of a request, which may have 16 KiB, and its parsed form. */
-constexpr std::size_t connection_buffer_bytes = 24U << 10U;
+/** Memory of a connection for the head of a request, which may have 16 KiB, and its parsed form. A
+ * smaller buffer refuses legal heads with lines of 100 bytes. */
+constexpr std::size_t connection_buffer_bytes = 32U << 10U;
 /** Larger responses count as held memory until they have been sent. */
 constexpr std::size_t small_response_bytes = 16U << 10U;
 
