JSON lists: a text with too many values costs its own entry again, not the whole list

Callers would have seen: one machine entry with a million nested arrays made the whole list of machines unreadable.

Now the number of entries is limited there, and the entries share the 400,000 values; one beyond them is left out.

--- a/src/json/untrusted.cpp
+++ b/src/json/untrusted.cpp
@@ -73,7 +73,7 @@
     structure_scanner scanner;
     std::size_t begin = 0;
     for (std::size_t i = 0; i < text.size(); ++i) {
-        if (!scanner.advance(text[i]) || scanner.values() > max_values) {
+        if (!scanner.advance(text[i]) || out.size() > max_values) {
             return std::nullopt;
         }
         if (text[i] == separator && scanner.at_top()) {
@@ -107,15 +107,29 @@
     return parsed ? std::move(*parsed) : nlohmann::json(nlohmann::json::value_t::discarded);
 }
 
-nlohmann::json parse_member(std::string_view text)
+/** @param values_left number of values that may still be parsed; reduced by those of the text. */
+nlohmann::json parse_within(std::string_view text, std::size_t& values_left)
+{
+    structure_scanner scanner;
+    for (const char c : text) {
+        scanner.advance(c);
+    }
+    if (scanner.values() >= values_left) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+    values_left -= scanner.values() + 1;
+    return parse_or_discard(text);
+}
+
+nlohmann::json parse_member(std::string_view text, std::size_t& values_left)
 {
     const auto elements = split_members(text, '[', ']');
     if (!elements) {
-        return parse_or_discard(text);
+        return parse_within(text, values_left);
     }
     auto out = nlohmann::json::array();
     for (const std::string_view element : *elements) {
-        out.push_back(parse_or_discard(element));
+        out.push_back(parse_within(element, values_left));
     }
     return out;
 }
@@ -148,6 +162,7 @@
         return std::nullopt;
     }
     auto out = nlohmann::json::object();
+    std::size_t values_left = max_values;
     for (const std::string_view member : *members) {
         const std::size_t name_end = member.find('"', member.find('"') + 1);
         const std::size_t colon = member.find(':', name_end);
@@ -158,7 +173,7 @@
         if (!name || !name->is_string()) {
             return std::nullopt;
         }
-        out[name->get<std::string>()] = parse_member(member.substr(colon + 1));
+        out[name->get<std::string>()] = parse_member(member.substr(colon + 1), values_left);
     }
     return out;
 }
