HTTP server: close the connection of a response that finds no memory

Callers would have seen: 503 with "ran":"no" for a request that had been handled, whenever its response of more than 16 KiB found no held memory left. A backend server may have run it.

Change: such a response is dropped and its connection closed, which leaves the outcome open, as it is.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -342,6 +342,14 @@
         }
         exchange& ex = *sending.begin()->second;
         sending.erase(sending.begin());
+        drop_response(ex);
+        return true;
+    }
+
+    /** Closes the connection instead of sending the response: the request has been handled, so it
+     * can't be refused any more. */
+    void drop_response(exchange& ex)
+    {
         held.remove(ex.id);
         if (!ex.response_queued) {
             ex.reply->body = std::string{};
@@ -349,11 +357,10 @@
         // Frees the memory of a response of which the library has sent a part.
         ::shutdown(connection_of(ex.connection).socket, SHUT_RDWR);
         record_rejection("response_dropped", "responses_dropped", ex, "memory");
-        return true;
     }
 
     /** Counts the memory of a response instead of that of its request; if there is none left, the
-     * response is replaced. */
+     * response is dropped. */
     void hold_response(exchange& ex)
     {
         if (ex.reply->body.size() <= small_response_bytes) {
@@ -362,8 +369,7 @@
         }
         while (!held.try_resize(ex.id, ex.reply->body.size())) {
             if (!drop_unread_response()) {
-                ex.reply = make_no_memory();
-                held.try_resize(ex.id, 0);
+                drop_response(ex);
                 return;
             }
         }
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -214,6 +214,35 @@
     CHECK(received_bytes == request_limits{}.max_body_bytes);
 }
 
+// Fails if a handled request is answered with a refusal that says that it has not run.
+TEST_CASE("http server: a response that finds no memory closes its connection without an answer")
+{
+    event_loop loop;
+    client c{loop};
+    server* self = nullptr;
+    int handled = 0;
+    server s{loop, [&](exchange_id id, http::request&& in) {
+                 ++handled;
+                 const std::size_t bytes = in.path == "/large" ? 100'000 : 30'000;
+                 self->respond(id, {200, "text/plain", std::string(bytes, 'x'), {}});
+             }};
+    self = &s;
+    request_limits limits;
+    limits.max_body_bytes = limits.max_held_body_bytes = 64U << 10U;
+    s.set_limits(limits);
+    REQUIRE_FALSE(s.listen({"127.0.0.1", 19999}, {}));
+    client_request request;
+    request.url = "http://127.0.0.1:19999/large";
+    const client_response refused = send_and_wait(loop, c, client_request{request});
+    CHECK(handled == 1);
+    CHECK(refused.outcome == delivery::lost);
+    CHECK_FALSE(refused.ran);
+    request.url = "http://127.0.0.1:19999/small";
+    const client_response answered = send_and_wait(loop, c, std::move(request));
+    CHECK(answered.status == 200);
+    CHECK(answered.body.size() == 30'000);
+}
+
 TEST_CASE(
     "http server: a request that has arrived but is not read keeps the server from being drained")
 {
