Callers: a job with an earlier copy on its way is not refused

Callers would have seen: 503, which says that a job never runs, for a repeated submission whose first copy was still on its way to the log and was then accepted.

Cause: the room in the log was checked before the jobs on their way, which job_memory knows.

Change: without room in the log, such a submission gets 504, outcome unknown. It is not proposed again, so that repeated submissions of one job can't exceed the bound on the log either.

--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -117,6 +117,11 @@
         reply(error_reply(bad_request, "bad_request", error_of(spec).detail));
         return;
     }
+    if (!context_.log_has_room(in.body.size()) && context_.stored_jobs.is_pending(*id)) {
+        reply(error_reply(gateway_timeout, "outcome_unknown",
+                          "an earlier submission of the job may be accepted"));
+        return;
+    }
     if (auto refusal = refuse_for_memory(*id, value(spec), in.body.size())) {
         reply(std::move(*refusal));
         return;
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -211,6 +211,27 @@
     CHECK(leader.status_of("GET", "/open/2123456789abcdef", shop_key) == ok_status);
 }
 
+// Fails if a refusal says that a job never runs while an earlier copy of it is on its way to the
+// log.
+TEST_CASE("caller api: a job whose first submission is on its way is not refused for lack of room")
+{
+    leader_of_one leader;
+    leader.settings.max_log_bytes = 1;
+    std::vector<int> statuses;
+    for (int i = 0; i < 2; ++i) {
+        leader.begin_call("POST", "/orders/" + job_text, shop_key,
+                          [&](wire::forwarded_reply&& r) { statuses.push_back(r.status); });
+    }
+    // Another job has no copy on its way.
+    leader.begin_call("POST", "/orders/1123456789abcdef", shop_key,
+                      [&](wire::forwarded_reply&& r) { CHECK(r.status == 503); });
+    leader.run_until([&] { return statuses.size() == 2; });
+    CHECK(std::ranges::count(statuses, ok_status) >= 1);
+    CHECK(std::ranges::count(statuses, 503) == 0);
+    CHECK(leader.status_of("GET", "/orders/" + job_text, shop_key) == ok_status);
+    CHECK(leader.status_of("GET", "/orders/1123456789abcdef", shop_key) == gone);
+}
+
 // Fails if small documents that describe many tasks can fill the memory of every scheduler.
 TEST_CASE("callers: jobs are refused while those that have not ended hold the maximum of memory")
 {
