HTTP client: bound the responses that are being received together

Cause: a response could have 32 MB, and nothing bounded their sum over all servers.

Change: max_answer_bytes (new setting, 8 MiB) bounds the memory of all bodies that are being received; beyond it the largest one is given up, so that servers with ordinary answers are not affected. It counts as no answer.

--- a/include/fescuestream/http/client.h
+++ b/include/fescuestream/http/client.h
@@ -8,6 +8,7 @@
 #include "fescuestream/base/loop.h"
 #include "fescuestream/http/server.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -66,6 +67,9 @@
     long max_connections_per_host{0};
     /** Size of the connection cache. libcurl checks every cached connection once a second. */
     long max_cached_connections{2048};
+    /** Memory of the responses that are being received, in bytes. Beyond it the largest of them is
+     * given up, so that servers with ordinary responses are not affected. */
+    std::size_t max_receiving_bytes{64U << 20U};
 };
 
 class client {
--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -85,6 +85,9 @@
     /** Maximum memory of the servers' latest reports, in bytes. Reports of further servers are
      * refused; a server takes about 1 KB. */
     std::size_t max_report_bytes{16U << 20U};
+    /** Maximum memory of the responses of servers and of the machine service that are being
+     * received, in bytes. Beyond it the largest one is given up and counts as no answer. */
+    std::size_t max_answer_bytes{8U << 20U};
     machine_service machines;
     job_bounds bounds;
     scheduling_options scheduling;
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -39,7 +39,8 @@
 constexpr int ok_status = 200;
 /** Per server, one connection carries the long poll and the others carry orders; an order without
  * an answer occupies its connection for a second. */
-constexpr http::client_limits server_connections{8, 1200};
+constexpr long max_connections_per_server = 8;
+constexpr long max_cached_server_connections = 1200;
 /** Followers make no decisions, so the commit index may reach them with the next entries or after a
  * short delay. A sync takes 6 to 9 ms on the users' disks and blocks the leader's event loop: about
  * 15 syncs a second take a tenth of its time; one sync per loop iteration took half of it. */
@@ -94,7 +95,10 @@
     std::uint64_t next_number{wire::random_first_number()};
 
     impl(event_loop& l, const settings::job_service_settings& s, const protocol& w)
-        : loop{l}, settings{s}, wire{w}, client{l, server_connections},
+        : loop{l}, settings{s}, wire{w}, client{l,
+                                                {max_connections_per_server,
+                                                 max_cached_server_connections,
+                                                 s.max_answer_bytes}},
           retention{milliseconds{s.bounds.retention_ms} + job_retention_margin}
     {
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -21,10 +21,13 @@
     client_request request;
     client_response response;
     client::callback on_complete;
+    client::impl* owner{nullptr};
     CURL* easy{nullptr};
     curl_slist* headers{nullptr};
     bool has_framing_header{false};
     bool too_large{false};
+    /** Memory of the response's body that the client counts. */
+    std::size_t counted_bytes{0};
     bool was_sent{false};
 
     transfer() = default;
@@ -78,16 +81,7 @@
     return size * count;
 }
 
-std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user_data)
-{
-    auto& t = *static_cast<transfer*>(user_data);
-    if (t.response.body.size() + size * count > max_response_bytes) {
-        t.too_large = true;
-        return 0;
-    }
-    t.response.body.append(data, size * count);
-    return size * count;
-}
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user_data);
 
 /**
  * Closes a socket with a TCP reset (SO_LINGER with a timeout of 0). After an ordinary close the
@@ -139,8 +133,12 @@
     std::unordered_map<int, io_handle> socket_watches;
     std::unordered_map<CURL*, std::unique_ptr<transfer>> active_transfers;
     std::vector<CURL*> idle_handles;
+    std::size_t max_receiving_bytes;
+    /** Memory of the bodies of the active transfers. */
+    std::size_t receiving_bytes{0};
 
-    impl(event_loop& l, client_limits limits) : loop{l}
+    impl(event_loop& l, client_limits limits)
+        : loop{l}, max_receiving_bytes{limits.max_receiving_bytes}
     {
         curl_global_init(CURL_GLOBAL_DEFAULT);
         multi = curl_multi_init();
@@ -167,6 +165,46 @@
         curl_multi_cleanup(multi);
     }
 
+    /** Makes room for more of a response. Gives up larger responses if necessary.
+     * @return whether there is room. */
+    bool reserve(transfer& t, std::size_t added)
+    {
+        std::string& body = t.response.body;
+        const std::size_t needed = body.size() + added;
+        if (t.too_large || needed > max_response_bytes) {
+            return false;
+        }
+        if (needed <= body.capacity()) {
+            return true;
+        }
+        const std::size_t capacity = std::max(needed, 2 * body.capacity());
+        while (receiving_bytes + capacity > max_receiving_bytes) {
+            transfer& largest = largest_transfer();
+            if (&largest == &t || largest.response.body.capacity() <= body.capacity()) {
+                return false;
+            }
+            free_body(largest);
+            largest.too_large = true;
+        }
+        // Both buffers exist while the content is moved.
+        receiving_bytes += capacity - std::exchange(t.counted_bytes, capacity);
+        body.reserve(capacity);
+        return true;
+    }
+
+    transfer& largest_transfer() const
+    {
+        return *std::ranges::max_element(active_transfers, {}, [](const auto& entry) {
+                    return entry.second->counted_bytes;
+                })->second;
+    }
+
+    void free_body(transfer& t)
+    {
+        receiving_bytes -= std::exchange(t.counted_bytes, 0);
+        t.response.body = std::string{};
+    }
+
     static int on_socket(CURL* /*easy*/, curl_socket_t fd, int what, void* user_data,
                          void* /*data*/)
     {
@@ -235,6 +273,7 @@
     {
         auto node = active_transfers.extract(easy);
         auto t = std::move(node.mapped());
+        receiving_bytes -= std::exchange(t->counted_bytes, 0);
         long http_status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
         t->response.status = static_cast<int>(http_status);
@@ -274,6 +313,21 @@
     }
 };
 
+namespace {
+
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user_data)
+{
+    auto& t = *static_cast<transfer*>(user_data);
+    if (!t.owner->reserve(t, size * count)) {
+        t.too_large = true;
+        return 0;
+    }
+    t.response.body.append(data, size * count);
+    return size * count;
+}
+
+} // namespace
+
 client::client(event_loop& loop, client_limits limits) : impl_{std::make_unique<impl>(loop, limits)}
 {
 }
@@ -289,6 +343,7 @@
     auto t = std::make_unique<transfer>();
     t->request = std::move(request);
     t->on_complete = std::move(on_complete);
+    t->owner = impl_.get();
     t->easy = impl_->acquire_handle();
     CURL* easy = t->easy;
     for (const header& h : t->request.headers) {
--- a/src/settings/job_service.cpp
+++ b/src/settings/job_service.cpp
@@ -148,6 +148,8 @@
         "max_log_bytes", {1, max_job_bytes}, static_cast<std::int64_t>(out.max_log_bytes)));
     out.max_report_bytes = static_cast<std::size_t>(top.number(
         "max_report_bytes", {1, max_job_bytes}, static_cast<std::int64_t>(out.max_report_bytes)));
+    out.max_answer_bytes = static_cast<std::size_t>(top.number(
+        "max_answer_bytes", {1, max_job_bytes}, static_cast<std::int64_t>(out.max_answer_bytes)));
     read_machines(top, out.machines, field_errors);
     read_bounds(top, out.bounds, field_errors);
     read_scheduling(top, out.scheduling, field_errors);
--- a/tests/e2e/crowds.py
+++ b/tests/e2e/crowds.py
@@ -18,6 +18,7 @@
 
 SCHEDULERS = ["127.0.0.31", "127.0.0.32", "127.0.0.33"]
 ENTRY = "127.0.0.34"
+MORE_ENTRIES = ["127.0.0.35", "127.0.0.36", "127.0.0.37"]
 PEER_PORT, CONTROL_PORT, CALLER_PORT, READY_PORT = 7520, 7521, 7522, 7523
 NODE_CALLER_PORT, NODE_CONTROL_PORT, NODE_PEER_PORT = 7524, 7525, 7526
 
@@ -31,6 +32,7 @@
 MAX_JOB_BYTES = 4 * MIB
 MAX_LOG_BYTES = 2 * MIB
 MAX_REPORT_BYTES = 1 * MIB
+MAX_ANSWER_BYTES = 1 * MIB
 # A process uses less than 16 MiB by itself and holds each counted byte three times at most: in the request, in the frame
 # for the leader, and while a buffer grows. A connection takes up to 32 KiB.
 MEMORY_BOUND = 16 * MIB + 3 * LIMITS["max_held_body_bytes"] + CROWD * 32 * KIB
@@ -83,8 +85,9 @@
 
 
 class CrowdCase(unittest.TestCase):
-    # Limits on requests that differ from the others for a test.
+    # Limits on requests, and settings of schedulers, that differ from the others for a test.
     http_changes = {}
+    scheduler_changes = {}
 
     def setUp(self):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fescue-body-crowds-"))
@@ -109,7 +112,9 @@
         current = {"http": LIMITS | TIMEOUTS | self.http_changes}
         if "data_folder" in settings:
             current |= {"max_job_bytes": MAX_JOB_BYTES, "max_log_bytes": MAX_LOG_BYTES,
-                        "max_report_bytes": MAX_REPORT_BYTES}
+                        "max_report_bytes": MAX_REPORT_BYTES, "max_answer_bytes": MAX_ANSWER_BYTES}
+            current |= self.scheduler_changes
+            earlier |= {k: v for k, v in self.scheduler_changes.items() if k in earlier}
         for limits in [current, earlier, {}]:
             file.write_text(json.dumps(settings | limits))
             check = subprocess.run([BUILD / "fescued", "--config", file, "--check"], capture_output=True, check=False)
@@ -119,10 +124,10 @@
             self.processes[name] = subprocess.Popen([BUILD / "fescued", "--config", file], stdout=log, stderr=log)
 
     def start_instance(self, address):
-        settings = {"role": "entry" if address == ENTRY else "scheduler", "id": address, "data_centre": "north",
+        settings = {"role": "scheduler" if address in SCHEDULERS else "entry", "id": address, "data_centre": "north",
                     "listen": {"peers": f"{address}:{PEER_PORT}"}, "seeds": SCHEDULERS, "first_start": True,
                     "cluster_secret": "e2e"}
-        if address == ENTRY:
+        if address not in SCHEDULERS:
             settings["listen"] |= {"callers": f"{address}:{CALLER_PORT}", "readiness": f"{address}:{READY_PORT}"}
         else:
             settings["listen"]["control"] = f"{address}:{CONTROL_PORT}"
@@ -145,14 +150,14 @@
         self.crowds.append(Crowd(address, port, requests))
         return self.crowds[-1]
 
-    def check_processes(self):
+    def check_processes(self, memory_bound=MEMORY_BOUND):
         """Every process lives, and stays within its memory and its descriptors."""
         for name, p in self.processes.items():
             self.assertIsNone(p.poll(), f"{name} has ended")
             status = pathlib.Path(f"/proc/{p.pid}/status").read_text()
             peak = int(status.split("VmHWM:")[1].split()[0]) * KIB
             descriptors = len(os.listdir(f"/proc/{p.pid}/fd"))
-            self.assertLessEqual(peak, MEMORY_BOUND, f"{name}: peak memory")
+            self.assertLessEqual(peak, memory_bound, f"{name}: peak memory")
             self.assertLessEqual(descriptors, DESCRIPTOR_BOUND, f"{name}: open descriptors")
 
 
