Stored jobs: count checkpoints and records of lost runs, and limit a checkpoint to 4 KiB

Callers would have seen: what servers report about the tasks of small jobs was stored by every scheduler and bounded by nothing: a checkpoint could have the size of a response, and each task keeps one.

Cause: job_memory counted what the documents describe only.

Change: the state keeps the size of all checkpoints, and job_memory counts it and the records of lost runs. A checkpoint of more than 4,096 bytes (the platform's have 16) or without room is ignored; its task keeps the earlier one and repeats some work at most.

Evidence: "callers: checkpoints and lost runs of stored jobs count as stored", red before in both of its parts. Unit only: no test of real processes has tasks that run.

--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -166,6 +166,8 @@
     std::map<server_id, std::set<task_id>> runs;
     /** Resources needed by the running tasks of each account. */
     std::map<team_id, resources> in_use;
+    /** Size of the checkpoints of all tasks. */
+    std::size_t checkpoint_bytes{0};
 
     /** @return the task, or nullptr if it does not exist. */
     const task* find(const task_id& id) const;
--- a/src/fleet/job_memory.cpp
+++ b/src/fleet/job_memory.cpp
@@ -12,6 +12,8 @@
 /** Entries of the containers that hold a job and its occurrence, their allocations, and the job's
  * entry in snapshots and in the record of ended jobs. */
 constexpr std::size_t bytes_per_job = 1024;
+/** Of a task whose runs were lost with servers, up to four of them. */
+constexpr std::size_t bytes_per_crash_record = 512;
 /** A command that is not applied within this time has been lost with its leader. */
 constexpr milliseconds pending_timeout{10'000};
 /** A job that takes more than this part of the bound is large. */
@@ -88,6 +90,12 @@
     return true;
 }
 
+bool job_memory::has_room_for(std::size_t added, const jobs::state& state, mono_time now)
+{
+    count_if_due(state, now);
+    return bytes_ + added <= max_bytes_;
+}
+
 bool job_memory::fits(std::size_t added) const noexcept
 {
     const bool large = added > max_bytes_ / large_job_divisor;
@@ -106,6 +114,7 @@
     for (const jobs::job_id& id : state.active_jobs) {
         bytes_ += estimate_memory(state.jobs.at(id));
     }
+    bytes_ += state.checkpoint_bytes + state.crash_records.size() * bytes_per_crash_record;
     std::erase_if(pending_jobs_, [&](const auto& entry) {
         return state.jobs.contains(entry.first) || now - entry.second.since >= pending_timeout;
     });
--- a/src/fleet/job_memory.h
+++ b/src/fleet/job_memory.h
@@ -45,6 +45,8 @@
     /** Decides on the next occurrence of a stored job, and counts it if it fits. The first of a
      * job's open occurrences always fits, because the job was admitted with it. */
     bool admit_occurrence(const jobs::job_id& id, const jobs::state& state, mono_time now);
+    /** @return whether this much more would fit. */
+    bool has_room_for(std::size_t added, const jobs::state& state, mono_time now);
     std::size_t bytes() const noexcept { return bytes_; }
 
 private:
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "run_timing.h"
 #include "scope_timer.h"
+#include "validation.h"
 
 #include "fescuestream/base/log.h"
 
@@ -118,6 +119,18 @@
            counted_bytes_ - counted + needed <= context_.settings.max_report_bytes;
 }
 
+bool run_driver::may_store(const std::string& checkpoint) const
+{
+    const bool fits =
+        checkpoint.size() <= max_checkpoint_bytes &&
+        (checkpoint.empty() ||
+         context_.stored_jobs.has_room_for(checkpoint.size(), context_.state(), context_.now()));
+    if (!fits) {
+        context_.counters.count("checkpoints_ignored");
+    }
+    return fits;
+}
+
 void run_driver::erase_server(std::map<server_id, server_view>::iterator server)
 {
     counted_bytes_ -= server->second.counted_bytes;
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -179,6 +179,8 @@
 
     core_context& context_;
     std::function<void()> capacity_changed_;
+    /** @return whether the checkpoint is kept. A task without its latest one repeats some work. */
+    bool may_store(const std::string& checkpoint) const;
     void erase_server(std::map<server_id, server_view>::iterator server);
 
     std::map<server_id, server_view> servers_;
--- a/src/fleet/run_polling.cpp
+++ b/src/fleet/run_polling.cpp
@@ -146,7 +146,8 @@
         }
         run->end_proposed = true;
         run->record_execution(view.report.incarnation_id);
-        batch.ends.push_back({e.run, e.outcome, e.checkpoint});
+        batch.ends.push_back(
+            {e.run, e.outcome, may_store(e.checkpoint) ? e.checkpoint : run->checkpoint});
         context_.counters.count(fmt::format("runs_ended_{}", jobs::name_of(e.outcome)));
         log::info("run_ended", {{"task", e.run.task.text()},
                                 {"attempt", e.run.attempt},
@@ -205,7 +206,9 @@
         run->visible_from = run->visible_from.value_or(now);
         run->percent = a.percent;
         run->load_metric = a.load_metric;
-        run->checkpoint = a.checkpoint;
+        if (may_store(a.checkpoint)) {
+            run->checkpoint = a.checkpoint;
+        }
         if (a.percent < 100) {
             run->ready_since.reset();
         } else if (!run->ready_since) {
--- a/src/fleet/validation.h
+++ b/src/fleet/validation.h
@@ -37,6 +37,9 @@
 status check_machine(const machine_entry& machine);
 status check_order(const server_address& to, const server_order& order);
 status check_answer(const server_answer& answer);
+/** Larger checkpoints are ignored: every scheduler stores them. */
+inline constexpr std::size_t max_checkpoint_bytes = 4096;
+
 status check_poll_reply(const poll_reply& reply);
 
 } // namespace fescue::fleet
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -42,6 +42,26 @@
     s.crash_records.erase(first, last);
 }
 
+void set_checkpoint(state& s, task& t, const std::string& checkpoint)
+{
+    s.checkpoint_bytes += checkpoint.size();
+    s.checkpoint_bytes -= t.checkpoint.size();
+    t.checkpoint = checkpoint;
+}
+
+std::size_t count_checkpoint_bytes(const job& j)
+{
+    std::size_t bytes = 0;
+    for (const auto& [number, o] : j.occurrences) {
+        for (const step& st : o.steps) {
+            for (const task& t : st.tasks) {
+                bytes += t.checkpoint.size();
+            }
+        }
+    }
+    return bytes;
+}
+
 /** Frees the spec and the occurrences of an ended job once none of its tasks run. */
 void release_ended_job(state& s, const job_id& id, job& j)
 {
@@ -49,6 +69,7 @@
         s.recurring_jobs.erase(id);
     }
     if (has_ended(j.phase) && j.running == 0) {
+        s.checkpoint_bytes -= count_checkpoint_bytes(j);
         j.spec = {};
         j.occurrences.clear();
         s.active_jobs.erase(id);
@@ -107,10 +128,10 @@
     add_to_run_index(s, id, *started, owner);
 }
 
-void mark_task_done(step& st, task& t)
+void mark_task_done(state& s, step& st, task& t)
 {
     t.phase = task_phase::done;
-    t.checkpoint.clear();
+    set_checkpoint(s, t, {});
     ++st.done;
 }
 
@@ -132,11 +153,11 @@
 }
 
 /** Marks the waiting members of a gang as done: one successful run completes the whole gang. */
-void mark_waiting_members_done(step& st)
+void mark_waiting_members_done(state& s, step& st)
 {
     for (task& t : st.tasks) {
         if (t.phase == task_phase::waiting) {
-            mark_task_done(st, t);
+            mark_task_done(s, st, t);
         }
     }
 }
@@ -246,17 +267,17 @@
     --owner.running;
     ended->phase = task_phase::waiting;
     if (!cmd.checkpoint.empty()) {
-        ended->checkpoint = cmd.checkpoint;
+        set_checkpoint(s, *ended, cmd.checkpoint);
     }
     const step_spec& spec = owner.spec.steps[id.step];
     const bool succeeded = cmd.outcome == run_outcome::done && !spec.long_running;
     // One successful member completes the gang; the others count as done however they end.
     const bool gang_is_done = spec.gang && task_step.done > 0;
     if (succeeded || gang_is_done) {
-        mark_task_done(task_step, *ended);
+        mark_task_done(s, task_step, *ended);
         s.crash_records.erase(id);
         if (spec.gang) {
-            mark_waiting_members_done(task_step);
+            mark_waiting_members_done(s, task_step);
         }
         complete_occurrence_if_done(s, id, owner, now);
     } else if (cmd.outcome == run_outcome::failed) {
@@ -491,6 +512,7 @@
     recurring_jobs.clear();
     runs.clear();
     in_use.clear();
+    checkpoint_bytes = 0;
     for (const auto& [id, j] : jobs) {
         if (!has_ended(j.phase) || j.running > 0) {
             active_jobs.insert(id);
@@ -498,6 +520,7 @@
         if (!has_ended(j.phase) && j.occurrences_opened < j.spec.schedule.times) {
             recurring_jobs.insert(id);
         }
+        checkpoint_bytes += count_checkpoint_bytes(j);
         for (const auto& [number, o] : j.occurrences) {
             for (std::uint32_t s = 0; s < o.steps.size(); ++s) {
                 for (std::uint32_t t = 0; t < o.steps[s].tasks.size(); ++t) {
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -333,3 +333,37 @@
     CHECK(more > 0);
     CHECK(more < admitted / 2);
 }
+
+// Fails if what servers report about the tasks of small jobs can fill the memory of every
+// scheduler.
+TEST_CASE("callers: checkpoints and lost runs of stored jobs count as stored")
+{
+    constexpr std::uint32_t tasks = 1000;
+    jobs::job_spec spec;
+    spec.steps.resize(1);
+    spec.steps[0].tasks = tasks;
+    spec.steps[0].long_running = true;
+    const std::size_t bytes = estimate_memory(spec);
+    const jobs::job_id id{1};
+    for (const auto outcome : {jobs::run_outcome::lapsed, jobs::run_outcome::lost}) {
+        jobs::state state;
+        job_memory memory{4 * bytes};
+        mono_time now{1h};
+        REQUIRE(memory.admit(id, spec, state, now) == memory_verdict::fits);
+        jobs::apply(state, jobs::submit_job{id, {}, {}, {}, spec, 0});
+        now += 1s;
+        CHECK(memory.admit(jobs::job_id{2}, spec, state, now) == memory_verdict::fits);
+        for (std::uint32_t i = 0; i < tasks; ++i) {
+            const jobs::run_id run{{id, 0, 0, i}, 1};
+            const std::string checkpoint(outcome == jobs::run_outcome::lapsed ? 1000 : 0, 'c');
+            jobs::apply(state, jobs::start_runs{{{run, server_id{"s" + std::to_string(i)}, 1}}});
+            jobs::apply(state, jobs::end_runs{{{run, outcome, checkpoint}}, 0});
+        }
+        now += 1min;
+        CHECK(memory.admit(jobs::job_id{3}, spec, state, now) == memory_verdict::no_room);
+        // They go with the job.
+        jobs::apply(state, jobs::cancel_job{id, 0});
+        now += 1min;
+        CHECK(memory.admit(jobs::job_id{3}, spec, state, now) == memory_verdict::fits);
+    }
+}
