Deploy and defaults: limits whose sum fits the memory of the machines

The bounds of a scheduler exceeded its 256 MB by 35 when all are reached at once, and an entry with the larger head buffers would exceed 160 MB.

--- a/include/fescuestream/json/untrusted.h
+++ b/include/fescuestream/json/untrusted.h
@@ -19,7 +19,7 @@
 inline constexpr std::size_t max_depth = 64;
 /** Largest number of values in a text that is parsed. A parsed value takes up to about 110 bytes,
  * and the smallest schedulers have 256 MB. A route of the configuration has 15 values. */
-inline constexpr std::size_t max_values = 400'000;
+inline constexpr std::size_t max_values = 200'000;
 
 /** @return the parsed value, or nothing if the text is not valid JSON, contains a number that
  * exceeds the range of a double, nests deeper than max_depth, or has more than max_values. */
--- a/include/fescuestream/settings/job_service.h
+++ b/include/fescuestream/settings/job_service.h
@@ -77,14 +77,14 @@
     std::string cluster_secret;
     /** Maximum memory of the stored jobs, active and ended, in bytes. The smallest schedulers have
      * 256 MB, and a job may exist three times in a process while a snapshot is written. */
-    std::size_t max_job_bytes{48U << 20U};
+    std::size_t max_job_bytes{32U << 20U};
     /** Maximum memory of the log's entries in bytes: half of it since the last snapshot, half of it
      * before that for followers that lag. No more entries are accepted while this many bytes of
      * them are not applied. */
     std::size_t max_log_bytes{8U << 20U};
     /** Maximum memory of the servers' latest reports, in bytes. Reports of further servers are
      * refused; a server takes about 1 KB. */
-    std::size_t max_report_bytes{16U << 20U};
+    std::size_t max_report_bytes{8U << 20U};
     /** Maximum memory of the responses of servers and of the machine service that are being
      * received, in bytes. Beyond it the largest one is given up and counts as no answer. */
     std::size_t max_answer_bytes{8U << 20U};
