HTTP server: connections whose small responses are not read give way to new ones

Callers saw: with as many connections as a port allows that ask again and again and read nothing, no ordinary caller was answered for a minute, until the idle timeout.

Cause: for a new connection only those without a request, stalled bodies and idle ones were closed; only responses above 16 KiB were remembered.

Change: all responses that are being sent are remembered by time; for a new connection the one that has waited for longest, 1 s at least, is dropped after the connections without a request.

Evidence: test_small_answers_that_are_not_read, red on (readiness port) and (control port), green now.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 #include <set>
@@ -29,6 +30,8 @@
 /** Connections are closed while less than this part of them is left, so that new callers find one.
  */
 constexpr std::size_t spare_connections_divisor = 16;
+/** A response that has been waiting for less than this may just not have been written. */
+constexpr milliseconds min_unread_response_time{1000};
 /** Larger responses count as held memory until they have been sent. */
 constexpr std::size_t small_response_bytes = 16U << 10U;
 
@@ -161,7 +164,7 @@
     std::unordered_map<connection_id, std::unique_ptr<open_connection>> connections;
     waiting_connections waiting{request_limits{}.header_timeout, request_limits{}.idle_timeout};
     connection_id next_connection{1};
-    /** Exchanges whose large response is being sent, by the time of the response. */
+    /** Exchanges whose response is being sent, by the time of the response. */
     std::set<std::pair<mono_time, exchange*>> sending;
     metrics* counters{nullptr};
     log::limiter rejected_bodies;
@@ -334,39 +337,38 @@
      * @return whether there was one. */
     bool drop_unread_response()
     {
-        if (sending.empty()) {
+        const auto found = std::ranges::find_if(sending, [](const auto& entry) {
+            return entry.second->reply->body.size() > small_response_bytes;
+        });
+        if (found == sending.end()) {
             return false;
         }
-        exchange& ex = *sending.begin()->second;
-        sending.erase(sending.begin());
-        drop_response(ex);
+        drop_response(*found->second, "memory");
         return true;
     }
 
     /** Closes the connection instead of sending the response: the request has been handled, so it
      * can't be refused any more. */
-    void drop_response(exchange& ex)
+    void drop_response(exchange& ex, const char* why)
     {
+        sending.erase({ex.replied_at, &ex});
         held.remove(ex.id);
         if (!ex.response_queued) {
             ex.reply->body = std::string{};
         }
         // Frees the memory of a response of which the library has sent a part.
         ::shutdown(connection_of(ex.connection).socket, SHUT_RDWR);
-        record_rejection("response_dropped", "responses_dropped", ex, "memory");
+        record_rejection("response_dropped", "responses_dropped", ex, why);
     }
 
     /** Counts the memory of a response instead of that of its request; if there is none left, the
      * response is dropped. */
     void hold_response(exchange& ex)
     {
-        if (ex.reply->body.size() <= small_response_bytes) {
-            held.try_resize(ex.id, 0);
-            return;
-        }
-        while (!held.try_resize(ex.id, ex.reply->body.size())) {
+        const bool small = ex.reply->body.size() <= small_response_bytes;
+        while (!held.try_resize(ex.id, small ? 0 : ex.reply->body.size())) {
             if (!drop_unread_response()) {
-                drop_response(ex);
+                drop_response(ex, "memory");
                 return;
             }
         }
@@ -451,6 +453,9 @@
     {
         if (const auto unserved = waiting.longest_unserved()) {
             close_waiting(*unserved, "connections");
+        } else if (!sending.empty() &&
+                   loop.now() - sending.begin()->first >= min_unread_response_time) {
+            drop_response(*sending.begin()->second, "connections");
         } else if (const auto stalled = held.longest_stalled(0, 0)) {
             drop(*receiving.at(*stalled), "connections");
         } else if (const auto idle = waiting.longest_idle()) {
@@ -490,6 +495,9 @@
             on_request(ex.id, std::move(ex.incoming));
         }
         if (ex.reply) {
+            if (ex.replied_at == mono_time{}) {
+                hold_response(ex);
+            }
             ex.response_queued = true;
             return queue_response(connection, *ex.reply);
         }
--- a/tests/e2e/test_connection_crowds.py
+++ b/tests/e2e/test_connection_crowds.py
@@ -67,15 +67,32 @@
                                                  body=large_document()) == 200)
         ask = b"GET /config HTTP/1.1\r\nHost: x\r\n\r\n"
         for address in SCHEDULERS:
-            # Each connection has a small receive buffer and asks many times.
-            crowd = self.send_crowd(address, CONTROL_PORT, [])
-            for _ in range(CROWD):
-                s = socket.socket()
-                s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                s.settimeout(10)
-                s.connect((address, CONTROL_PORT))
-                s.sendall(ask * 50)
-                crowd.sockets.append(s)
+            self.send_unread(address, CONTROL_PORT, ask * 50)
+        self.check_ordinary_requests()
+        self.check_processes()
+
+    def send_unread(self, address, port, requests, count=CROWD):
+        """Each connection of the crowd has a small receive buffer, asks many times and reads nothing."""
+        crowd = self.send_crowd(address, port, [])
+        for _ in range(count):
+            s = socket.socket()
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            s.settimeout(2)
+            crowd.sockets.append(s)
+            try:
+                s.connect((address, port))
+                s.sendall(requests)
+            except OSError:
+                pass
+
+    def test_small_answers_that_are_not_read(self):
+        """They hold no memory to speak of, but all connections of the port."""
+        self.start_job_service()
+        for address, port in [PORTS["readiness"], PORTS["control"]]:
+            # A few at a time, so that the earlier ones have filled their buffers and are not idle.
+            for _ in range(CROWD // 10):
+                self.send_unread(address, port, b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * 20000, count=10)
+                time.sleep(0.3)
         self.check_ordinary_requests()
         self.check_processes()
 
