HTTP server: a dropped response is not counted again

Since a small response whose connection gave way while it was being queued ended the process with std::out_of_range (unordered_map::at): it had been removed from the held memory and was then counted there once more. A dropped response is marked as such, so complete_request() leaves it alone.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -54,7 +54,7 @@
     bool suspended{false};
     /** The library reads the response's body from the exchange until it has been sent. */
     bool response_queued{false};
-    /** The request was dropped; its connection is being closed. */
+    /** The request or its response was dropped; its connection is being closed. */
     bool dropped{false};
     /** Length that the request announces for its body; 0: none. */
     std::size_t announced_bytes{0};
@@ -352,6 +352,7 @@
     void drop_response(exchange& ex, const char* why)
     {
         sending.erase({ex.replied_at, &ex});
+        ex.dropped = true;
         held.remove(ex.id);
         if (!ex.response_queued) {
             ex.reply->body = std::string{};
