--- a/tests/e2e/test_body_crowds.py
+++ b/tests/e2e/test_body_crowds.py
@@ -5,8 +5,9 @@
 import json
 import signal
 
-from crowds import (CONTROL_PORT, CROWD, ENTRY, HOST, JOB, KIB, LEGAL_BODY, MIB, NODE_CALLER_PORT, NODE_CONTROL_PORT,
-                    NODE_PEER_PORT, SCHEDULERS, CALLER_PORT, CrowdCase, padded_job, request_head, run_tests)
+from crowds import (CALLER_PORT, CONTROL_PORT, CROWD, ENTRY, HOST, JOB, KIB, LEGAL_BODY, MIB, MORE_ENTRIES,
+                    NODE_CALLER_PORT, NODE_CONTROL_PORT, NODE_PEER_PORT, READY_PORT, SCHEDULERS, CrowdCase, padded_job,
+                    request_head, run_tests)
 from fleet import wait_for
 from test_job_shutdown import request
 
@@ -81,6 +82,22 @@
                     ENTRY, CALLER_PORT, "GET", f"/queue/{n + 16:016x}", HOST) == 410)
         self.check_processes()
 
+    def test_whole_bodies_at_several_entries_while_the_leader_does_not_answer(self):
+        # The schedulers read what all entries have queued for them at once.
+        self.start_job_service()
+        for address in MORE_ENTRIES:
+            self.start_instance(address)
+            wait_for(f"{address} to be ready", lambda a=address: request(a, READY_PORT, "GET", "/readyz") == 200)
+        for address in SCHEDULERS:
+            self.processes[address].send_signal(signal.SIGSTOP)
+        for at, address in enumerate([ENTRY, *MORE_ENTRIES]):
+            heads = [request_head("POST", f"/queue/{at * CROWD + n + 16:016x}", f"Content-Length: {LEGAL_BODY}")
+                     for n in range(CROWD)]
+            self.send_crowd(address, CALLER_PORT, [h + padded_job(LEGAL_BODY) for h in heads])
+        for address in SCHEDULERS:
+            self.processes[address].send_signal(signal.SIGCONT)
+        wait_for("an ordinary request", lambda: self.submit(1) == 200)
+        self.check_processes()
 
     def check_whole_jobs(self, job):
         """Complete jobs are accepted or refused, and what the schedulers store stays within their memory."""
--- a/tests/e2e/test_job_crowds.py
+++ b/tests/e2e/test_job_crowds.py
@@ -6,8 +6,10 @@
 import json
 import shutil
 import signal
+import time
 
-from crowds import CALLER_PORT, CONTROL_PORT, ENTRY, HOST, JOB, SCHEDULERS, CrowdCase, run_tests
+from crowds import (CALLER_PORT, CONTROL_PORT, ENTRY, HOST, JOB, MAX_LOG_BYTES, MIB, SCHEDULERS, CrowdCase,
+                    run_tests)
 from fleet import wait_for
 from test_job_shutdown import CONFIG, request
 
@@ -139,5 +141,22 @@
         self.check_ordinary_request()
 
 
+class ManyTasksThatLast(CrowdCase):
+    """Half a million tasks that last and that no server can run, from a few small documents."""
+    scheduler_changes = {"max_job_bytes": 48 * MIB}
+
+    def test_ordinary_request_while_tasks_that_last_wait(self):
+        self.start_job_service()
+        job = json.dumps({"spec": "s", "steps": [{"count": 20000, "cpu": 10 ** 9, "long_running": True}]}).encode()
+        for n in range(16, 16 + 28):
+            request(ENTRY, CALLER_PORT, "POST", f"/queue/{n:016x}", HOST, job)
+        for n in range(3):
+            wait_for("an ordinary request", lambda n=n: self.submit(0x1000 + n) == 200, seconds=60)
+            wait_for("the first tasks to have waited", lambda: request(
+                ENTRY, CALLER_PORT, "GET", f"/queue/{16:016x}", HOST) == 200, seconds=60)
+            time.sleep(2)
+        self.check_processes(memory_bound=16 * MIB + 3 * 48 * MIB + 2 * MAX_LOG_BYTES)
+
+
 if __name__ == "__main__":
     run_tests()
