Entries: apply the limits of the configuration document

The document's limits (max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms) were accepted and read by nothing: a body of 2,000 bytes got 200 under a max_body_bytes of 1,000. The leader now tells the entries the limits of a new document, in a message that goes only to instances whose hello announces that they know it, and the callers' port applies them: 431 for longer header lines, 413 for longer bodies, and the two timeouts (idle at most 300 s). A limit that the document lacks is that of the settings file.

Since the idle timeout changes at run time, the library is told about it with each response (test_answer_that_is_not_read); before the first response the server closes idle connections itself.

--- a/include/fescuestream/http/request_limits.h
+++ b/include/fescuestream/http/request_limits.h
@@ -26,9 +26,11 @@
     /** A connection on which nothing is sent or received for this long is closed. */
     milliseconds idle_timeout{60'000};
     std::size_t max_connections{8192};
-    /** Memory of each connection for the head of a request and its parsed form, which takes 64 bytes
-     * for each line beside its text. */
+    /** Memory of each connection for the head of a request and its parsed form, which takes 64
+     * bytes for each line beside its text. */
     std::size_t head_buffer_bytes{32U << 10U};
+    /** Longer header lines together are rejected with status 431; 0: what fits the buffer. */
+    std::size_t max_head_bytes{0};
 };
 
 /** @return the limits with max_connections reduced to what the process's descriptor limit allows
--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -81,6 +81,9 @@
 
     /** Sets the limits of this port; call it before listen(). */
     void set_limits(const request_limits& limits);
+    /** Changes the limits on single requests and the timeouts of this port, at any time. The memory
+     * and the number of connections remain those of set_limits(). */
+    void change_request_limits(const request_limits& limits);
     /** Counts rejected requests, and reports the memory that bodies hold. @param counters must
      * outlive the server. */
     void report_to(metrics& counters);
--- a/include/fescuestream/http/waiting_connections.h
+++ b/include/fescuestream/http/waiting_connections.h
@@ -30,6 +30,13 @@
     {
     }
 
+    /** Applies to connections when they are checked next. */
+    void set_timeouts(milliseconds header_timeout, milliseconds idle_timeout)
+    {
+        header_timeout_ = header_timeout;
+        idle_timeout_ = idle_timeout;
+    }
+
     /**
      * The connection waits for a head from now on.
      * @param received bytes that have been received on the connection so far.
--- a/include/fescuestream/json/untrusted.h
+++ b/include/fescuestream/json/untrusted.h
@@ -34,6 +34,10 @@
  */
 std::optional<nlohmann::json> parse_untrusted_lists(std::string_view text);
 
+/** @return the text of a member's value, or nothing if the text is no object or has no such member.
+ * Does not parse the other members. */
+std::optional<std::string_view> find_member(std::string_view object, std::string_view name);
+
 /** @return the value of an integer, or nothing if it is no integer or exceeds 64 bits signed. */
 std::optional<std::int64_t> to_int64(const nlohmann::json& number);
 
--- a/include/fescuestream/wire/message.h
+++ b/include/fescuestream/wire/message.h
@@ -463,13 +463,32 @@
     }
 };
 
+/**
+ * Limits of the configuration document on callers' requests; 0: the document has no such limit.
+ * Sent only to instances that announce in their hello that they know this message.
+ */
+struct caller_limits {
+    /** Version of the document. */
+    std::uint64_t version{0};
+    std::int64_t max_head_bytes{0};
+    std::int64_t max_body_bytes{0};
+    std::int64_t header_timeout_ms{0};
+    std::int64_t idle_timeout_ms{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, max_head_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms);
+    }
+};
+
 using message =
     std::variant<hello, consensus::append_request, consensus::append_reply, consensus::vote_request,
                  consensus::vote_reply, consensus::install_snapshot, propose_request, propose_reply,
                  control_call, control_reply, work, work_queued, start_confirm_request,
                  start_confirm_reply, work_reply, announcement, load_report, instance_report,
                  release_request, forwarded_call, forwarded_reply, ping, server_reports,
-                 relayed_call, relayed_answer, message_part>;
+                 relayed_call, relayed_answer, message_part, caller_limits>;
 
 /** Datagram that shows that the sender is alive and lists the instances that it considers alive. */
 struct heartbeat {
--- a/include/fescuestream/wire/send_queue.h
+++ b/include/fescuestream/wire/send_queue.h
@@ -33,6 +33,8 @@
 std::string make_nonce();
 /** @return whether the sender of a hello message can receive messages in parts. */
 bool accepts_parts(const hello& from);
+/** @return whether the sender of a hello message knows the message caller_limits. */
+bool accepts_caller_limits(const hello& from);
 
 /** Bytes that waited for the connection. */
 struct backlog {
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -37,6 +37,9 @@
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
+constexpr std::size_t min_held_bodies = 4;
+constexpr std::int64_t max_timeout_ms = 3'600'000;
+
 /** Limits of the readiness port, which serves the load balancer and the metrics: together with the
  * callers' port it must fit the memory of the instance. */
 http::request_limits readiness_limits(http::request_limits limits)
@@ -88,6 +91,8 @@
     };
     std::map<std::uint64_t, open_call> open_calls;
     std::uint64_t next_call_number{wire::random_first_number()};
+    /** Version of the document whose limits apply. */
+    std::uint64_t limits_version{0};
 
     impl(event_loop& l, const settings::job_service_settings& s, const protocol& w)
         : loop{l}, settings{s}, wire{w}
@@ -101,6 +106,8 @@
             link_events{[this](const wire::hello& /*who*/, wire::message&& m) {
                             if (const auto* reply = std::get_if<wire::forwarded_reply>(&m)) {
                                 on_reply(*reply);
+                            } else if (const auto* limits = std::get_if<wire::caller_limits>(&m)) {
+                                apply_limits(*limits);
                             }
                         },
                         [this](const wire::hello& /*who*/) { forward_unsent(); },
@@ -133,6 +140,37 @@
         return caller_server->listen(settings.callers, {});
     }
 
+    /** Applies the limits of the configuration document; where it has none, the settings' limits.
+     */
+    void apply_limits(const wire::caller_limits& m)
+    {
+        if (m.version < limits_version || !caller_server) {
+            return;
+        }
+        limits_version = m.version;
+        http::request_limits limits = settings.request_limits;
+        if (m.max_head_bytes > 0) {
+            limits.max_head_bytes = static_cast<std::size_t>(m.max_head_bytes);
+        }
+        if (m.max_body_bytes > 0) {
+            // Several bodies must fit the memory of all of them.
+            limits.max_body_bytes = std::min(static_cast<std::size_t>(m.max_body_bytes),
+                                             limits.max_held_body_bytes / min_held_bodies);
+        }
+        if (m.header_timeout_ms > 0) {
+            limits.header_timeout = milliseconds{std::min(m.header_timeout_ms, max_timeout_ms)};
+        }
+        if (m.idle_timeout_ms > 0) {
+            limits.idle_timeout = milliseconds{std::min(m.idle_timeout_ms, max_timeout_ms)};
+        }
+        log::info("limits_applied", {{"version", m.version},
+                                     {"max_head_bytes", limits.max_head_bytes},
+                                     {"max_body_bytes", limits.max_body_bytes},
+                                     {"header_timeout_ms", limits.header_timeout.count()},
+                                     {"idle_timeout_ms", limits.idle_timeout.count()}});
+        caller_server->change_request_limits(limits);
+    }
+
     bool ready() const
     {
         const instance_id& leader = peers->leader().id;
--- a/src/fleet/protocol.h
+++ b/src/fleet/protocol.h
@@ -12,6 +12,7 @@
 #include "fescuestream/http/server.h"
 #include "fescuestream/jobs/document.h"
 #include "fescuestream/jobs/server_report.h"
+#include "fescuestream/wire/message.h"
 
 #include <functional>
 #include <optional>
@@ -292,6 +293,8 @@
         make_maintenance_request;
     std::function<machine_result(const http::client_response&)> parse_machine_reply;
 
+    /** @return the limits on callers' requests in the text of a document. */
+    std::function<wire::caller_limits(const std::string& document)> parse_caller_limits;
     std::function<result<jobs::job_spec>(const std::string& body)> parse_job;
     std::function<std::string(jobs::job_phase)> format_job_phase;
     std::function<std::string(std::size_t pending)> format_pending_count;
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -15,10 +15,12 @@
 #include "fescuestream/base/log_limiter.h"
 #include "fescuestream/base/shutdown_schedule.h"
 #include "fescuestream/wire/frame.h"
+#include "fescuestream/wire/send_queue.h"
 
 #include <fmt/format.h>
 
 #include <map>
+#include <set>
 
 namespace fescue::fleet {
 
@@ -93,6 +95,9 @@
     };
     std::map<std::uint64_t, forwarded_request> pending_forwards;
     std::uint64_t next_number{wire::random_first_number()};
+    /** The entries that know the message, and what they were sent last; version 0: nothing. */
+    std::set<instance_id> limit_receivers;
+    wire::caller_limits sent_limits;
 
     impl(event_loop& l, const settings::job_service_settings& s, const protocol& w)
         : loop{l}, settings{s}, wire{w}, client{l,
@@ -117,6 +122,7 @@
                         },
                         [this](const wire::hello& who) { on_peer_connected(who); },
                         [this](const instance_id& id) {
+                            limit_receivers.erase(id);
                             membership->on_disconnected(id);
                             order_relay->on_disconnected(id);
                             expire_all_forwards();
@@ -174,6 +180,7 @@
             *context, *runs, [this](const jobs::server_report& r) { broadcast_report(r); });
         timers.push_back(loop.every(housekeeping_period, [this] { housekeep(); }));
         timers.push_back(loop.every(membership_period, [this] {
+            send_caller_limits();
             membership->tick();
             order_relay->set_relay_peers(membership->connected_by_data_centre());
         }));
@@ -269,8 +276,32 @@
         out.schedulers = membership->schedulers();
     }
 
+    /** Tells the entries the limits of a new document. */
+    void send_caller_limits()
+    {
+        const jobs::document& doc = log->state().doc;
+        if (!may_serve()) {
+            sent_limits.version = 0;
+            return;
+        }
+        if (doc.version == sent_limits.version) {
+            return;
+        }
+        sent_limits = wire.parse_caller_limits(doc.source);
+        sent_limits.version = doc.version;
+        for (const instance_id& id : limit_receivers) {
+            peers->send(id, sent_limits);
+        }
+    }
+
     void on_peer_connected(const wire::hello& who)
     {
+        if (who.disk == 0 && wire::accepts_caller_limits(who)) {
+            limit_receivers.insert(who.from);
+            if (sent_limits.version > 0) {
+                peers->send(who.from, sent_limits);
+            }
+        }
         membership->on_hello(who);
         log->replica().peer_connected(who.from);
         if (who.disk == 0) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -30,8 +30,15 @@
 /** Connections are closed while less than this part of them is left, so that new callers find one.
  */
 constexpr std::size_t spare_connections_divisor = 16;
+/** The library closes connections on which nothing is sent or received for this long before their
+ * first response, unless the settings have a longer idle timeout. */
+constexpr milliseconds max_idle_time{300'000};
 /** A response that has been waiting for less than this may just not have been written. */
 constexpr milliseconds min_unread_response_time{1000};
+constexpr int body_too_large = 413;
+constexpr int head_too_large = 431;
+/** ": " and the end of the line. */
+constexpr std::size_t header_line_separators = 4;
 /** Larger responses count as held memory until they have been sent. */
 constexpr std::size_t small_response_bytes = 16U << 10U;
 
@@ -91,6 +98,21 @@
     return std::string{text};
 }
 
+/** @return the size of the header lines, without the request line. */
+std::size_t count_header_bytes(MHD_Connection* connection)
+{
+    std::size_t bytes = 0;
+    MHD_get_connection_values_n(
+        connection, MHD_HEADER_KIND,
+        [](void* sum, MHD_ValueKind /*kind*/, const char* /*name*/, std::size_t name_size,
+           const char* /*value*/, std::size_t value_size) {
+            *static_cast<std::size_t*>(sum) += name_size + value_size + header_line_separators;
+            return MHD_YES;
+        },
+        &bytes);
+    return bytes;
+}
+
 /** @return the length that the request announces for its body; 0 if it announces none. */
 std::size_t announced_length(MHD_Connection* connection)
 {
@@ -103,9 +125,10 @@
     return length;
 }
 
-response make_too_large()
+response make_too_large(int status)
 {
-    return {413, "application/json", R"({"error":"too_large","ran":"no"})", {{"Fescue-Ran", "no"}}};
+    return {
+        status, "application/json", R"({"error":"too_large","ran":"no"})", {{"Fescue-Ran", "no"}}};
 }
 
 /** The response to a request whose body finds no memory. */
@@ -222,8 +245,12 @@
         ++unfinished_exchanges;
         held.begin(ex.id, loop.now());
         receiving.emplace(ex.id, &ex);
+        if (has_too_large_head(ex)) {
+            reject(ex, make_too_large(head_too_large), "head_too_large");
+            return queue_response(connection, *ex.reply);
+        }
         if (ex.announced_bytes > limits.max_body_bytes) {
-            reject(ex, make_too_large(), "announced_too_large");
+            reject(ex, make_too_large(body_too_large), "announced_too_large");
             return queue_response(connection, *ex.reply);
         }
         if (!reserve(ex, 0)) {
@@ -233,6 +260,12 @@
         return MHD_YES;
     }
 
+    bool has_too_large_head(const exchange& ex) const
+    {
+        return limits.max_head_bytes > 0 &&
+               count_header_bytes(ex.connection) > limits.max_head_bytes;
+    }
+
     static open_connection& connection_of(MHD_Connection* connection)
     {
         const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -391,7 +424,7 @@
         }
         held.record_progress(ex.id, loop.now());
         if (ex.incoming.body.size() + added > limits.max_body_bytes) {
-            reject(ex, make_too_large(), "too_large");
+            reject(ex, make_too_large(body_too_large), "too_large");
         } else if (!reserve_body(ex, added)) {
             reject(ex, make_no_memory(), "memory");
         } else {
@@ -476,6 +509,9 @@
         if (close_connections) {
             MHD_add_response_header(message, "Connection", "close");
         }
+        const auto timeout = std::chrono::ceil<std::chrono::seconds>(limits.idle_timeout);
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  static_cast<unsigned>(timeout.count()));
         const auto sent =
             MHD_queue_response(connection, static_cast<unsigned>(out.status), message);
         MHD_destroy_response(message);
@@ -595,10 +631,12 @@
          nullptr},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
          static_cast<std::intptr_t>(impl_->limits.head_buffer_bytes), nullptr},
-        // Closes connections whose response is not read; requests are not affected while a response
-        // is awaited.
+        // Requests are not affected while a response is awaited.
         {MHD_OPTION_CONNECTION_TIMEOUT,
-         std::chrono::ceil<std::chrono::seconds>(impl_->limits.idle_timeout).count(), nullptr},
+         std::chrono::ceil<std::chrono::seconds>(
+             std::max<milliseconds>(impl_->limits.idle_timeout, max_idle_time))
+             .count(),
+         nullptr},
         {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
         {MHD_OPTION_NOTIFY_COMPLETED,
          reinterpret_cast<std::intptr_t>(&impl::on_request_completed), // NOLINT
@@ -662,6 +700,16 @@
     impl_->waiting = waiting_connections{limits.header_timeout, limits.idle_timeout};
 }
 
+void server::change_request_limits(const request_limits& limits)
+{
+    request_limits& current = impl_->limits;
+    current.max_head_bytes = limits.max_head_bytes;
+    current.max_body_bytes = limits.max_body_bytes;
+    current.header_timeout = limits.header_timeout;
+    current.idle_timeout = std::min(limits.idle_timeout, max_idle_time);
+    impl_->waiting.set_timeouts(current.header_timeout, current.idle_timeout);
+}
+
 void server::report_to(metrics& counters)
 {
     impl_->counters = &counters;
--- a/src/json/untrusted.cpp
+++ b/src/json/untrusted.cpp
@@ -178,6 +178,21 @@
     return out;
 }
 
+std::optional<std::string_view> find_member(std::string_view object, std::string_view name)
+{
+    for (const std::string_view member :
+         split_members(object, '{', '}').value_or(std::vector<std::string_view>{})) {
+        const std::size_t first = member.find('"');
+        const std::size_t last = member.find('"', first + 1);
+        const std::size_t colon = member.find(':', last);
+        if (last != std::string_view::npos && colon != std::string_view::npos &&
+            member.substr(first + 1, last - first - 1) == name) {
+            return trim(member.substr(colon + 1));
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::int64_t> to_int64(const nlohmann::json& number)
 {
     constexpr std::uint64_t max = std::numeric_limits<std::int64_t>::max();
--- a/src/wire/send_queue.cpp
+++ b/src/wire/send_queue.cpp
@@ -11,8 +11,15 @@
 
 /** Upper bound on the encoding of a part without its bytes. */
 constexpr std::size_t part_header_bytes = 64;
-/** Bit of the byte that follows the random bytes of a nonce. */
+/** Bits of the byte that follows the random bytes of a nonce. */
 constexpr unsigned char parts_accepted = 1;
+constexpr unsigned char caller_limits_accepted = 2;
+
+bool has_flag(const hello& from, unsigned char flag)
+{
+    return from.nonce.size() > nonce_bytes &&
+           (static_cast<unsigned char>(from.nonce[nonce_bytes]) & flag) != 0;
+}
 
 } // namespace
 
@@ -30,13 +37,17 @@
 
 std::string make_nonce()
 {
-    return random_bytes(nonce_bytes) + static_cast<char>(parts_accepted);
+    return random_bytes(nonce_bytes) + static_cast<char>(parts_accepted | caller_limits_accepted);
 }
 
 bool accepts_parts(const hello& from)
 {
-    return from.nonce.size() > nonce_bytes &&
-           (static_cast<unsigned char>(from.nonce[nonce_bytes]) & parts_accepted) != 0;
+    return has_flag(from, parts_accepted);
+}
+
+bool accepts_caller_limits(const hello& from)
+{
+    return has_flag(from, caller_limits_accepted);
 }
 
 void send_queue::push(std::string&& frame)
--- a/tests/e2e/crowds.py
+++ b/tests/e2e/crowds.py
@@ -33,11 +33,11 @@
 MAX_LOG_BYTES = 2 * MIB
 MAX_REPORT_BYTES = 1 * MIB
 MAX_ANSWER_BYTES = 1 * MIB
-# A process uses less than 16 MiB by itself and holds each counted byte three times at most: in the request, in the frame
-# for the leader, and while a buffer grows. A connection takes up to 32 KiB.
+# A process uses less than 16 MiB by itself and holds each counted byte three times at most: in the request, in the
+# frame for the leader, and while a buffer grows. A connection takes up to 32 KiB.
 MEMORY_BOUND = 16 * MIB + 3 * LIMITS["max_held_body_bytes"] + CROWD * 32 * KIB
 # Connections to other instances, files and the listening sockets, beside the connections that the limit allows.
-DESCRIPTOR_BOUND = 40 + LIMITS["max_connections"]
+OTHER_DESCRIPTORS = 40
 
 HOST = {"Host": "jobs.example", "Deadline-Ms": "9000"}
 JOB = json.dumps({"spec": "s", "steps": [{"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}]}).encode()
@@ -150,15 +150,32 @@
         self.crowds.append(Crowd(address, port, requests))
         return self.crowds[-1]
 
+    def send_unread(self, address, port, requests, count=CROWD):
+        """Each connection of the crowd has a small receive buffer, asks many times and reads nothing."""
+        crowd = self.send_crowd(address, port, [])
+        for _ in range(count):
+            s = socket.socket()
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            s.settimeout(2)
+            crowd.sockets.append(s)
+            try:
+                s.connect((address, port))
+                s.sendall(requests)
+            except OSError:
+                pass
+
+    def count_descriptors(self, name):
+        return len(os.listdir(f"/proc/{self.processes[name].pid}/fd"))
+
     def check_processes(self, memory_bound=MEMORY_BOUND):
         """Every process lives, and stays within its memory and its descriptors."""
+        descriptor_bound = OTHER_DESCRIPTORS + (LIMITS | self.http_changes)["max_connections"]
         for name, p in self.processes.items():
             self.assertIsNone(p.poll(), f"{name} has ended")
             status = pathlib.Path(f"/proc/{p.pid}/status").read_text()
             peak = int(status.split("VmHWM:")[1].split()[0]) * KIB
-            descriptors = len(os.listdir(f"/proc/{p.pid}/fd"))
             self.assertLessEqual(peak, memory_bound, f"{name}: peak memory")
-            self.assertLessEqual(descriptors, DESCRIPTOR_BOUND, f"{name}: open descriptors")
+            self.assertLessEqual(self.count_descriptors(name), descriptor_bound, f"{name}: open descriptors")
 
 
 def run_tests():
--- a/tests/e2e/test_connection_crowds.py
+++ b/tests/e2e/test_connection_crowds.py
@@ -9,8 +9,8 @@
 import threading
 import time
 
-from crowds import (CALLER_PORT, CONTROL_PORT, CROWD, ENTRY, HOST, JOB, LEGAL_BODY, LIMITS, MIB, PEER_PORT, READY_PORT, SCHEDULERS,
-                    CrowdCase, padded_job, request_head, run_tests)
+from crowds import (CALLER_PORT, CONTROL_PORT, CROWD, ENTRY, HOST, JOB, LEGAL_BODY, LIMITS, MIB, PEER_PORT,
+                    READY_PORT, SCHEDULERS, CrowdCase, padded_job, request_head, run_tests)
 from fleet import wait_for
 from test_job_shutdown import CONFIG, request
 
@@ -71,20 +71,6 @@
         self.check_ordinary_requests()
         self.check_processes()
 
-    def send_unread(self, address, port, requests, count=CROWD):
-        """Each connection of the crowd has a small receive buffer, asks many times and reads nothing."""
-        crowd = self.send_crowd(address, port, [])
-        for _ in range(count):
-            s = socket.socket()
-            s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            s.settimeout(2)
-            crowd.sockets.append(s)
-            try:
-                s.connect((address, port))
-                s.sendall(requests)
-            except OSError:
-                pass
-
     def test_small_answers_that_are_not_read(self):
         """They hold no memory to speak of, but all connections of the port."""
         self.start_job_service()
@@ -210,6 +196,15 @@
             self.assertIs(connection.sock, used)
         connection.close()
 
+    def test_answer_that_is_not_read(self):
+        self.start_job_service()
+        wait_for("the document", lambda: request(SCHEDULERS[0], CONTROL_PORT, "PUT", "/config",
+                                                 body=large_document()) == 200)
+        # Fewer than half of the crowd: other instances may connect meanwhile.
+        bound = self.count_descriptors(SCHEDULERS[0]) + 10
+        self.send_unread(SCHEDULERS[0], CONTROL_PORT, b"GET /config HTTP/1.1\r\nHost: x\r\n\r\n" * 50, count=30)
+        wait_for("the connections to be closed", lambda: self.count_descriptors(SCHEDULERS[0]) <= bound)
+
 
 def add_tests():
     for port in PORTS:
--- a/tests/e2e/test_control_crowds.py
+++ b/tests/e2e/test_control_crowds.py
@@ -48,6 +48,8 @@
                  lambda: request(ENTRY, CALLER_PORT, "POST", f"/queue/{17:016x}", HOST, body) == 413)
         self.assertEqual(request(ENTRY, CALLER_PORT, "POST", f"/queue/{16:016x}", HOST, JOB), 200)
         self.assertEqual(request(ENTRY, CALLER_PORT, "POST", f"/queue/{18:016x}", head, JOB), 431)
+        # The request line is not a header.
+        self.assertNotEqual(request(ENTRY, CALLER_PORT, "GET", f"/queue/{16:016x}?" + "q" * 3000, HOST), 431)
         crowd = self.send_crowd(ENTRY, CALLER_PORT, [b"POST /queue/00000", b""])
         for s in crowd.sockets:
             s.settimeout(20)
--- a/tests/unit/odd_entries_test.cpp
+++ b/tests/unit/odd_entries_test.cpp
@@ -438,3 +438,19 @@
     // Characters of strings do not count.
     CHECK(json::parse_untrusted('"' + std::string(json::max_values + 1, ',') + '"'));
 }
+
+TEST_CASE("odd entries: limits of a document are read without the rest, and odd ones are none")
+{
+    const auto limits = platform::parse_caller_limits(
+        R"({"routes":[{"limits":{"max_body_bytes":1}}],"limits":{"max_header_bytes":2,"max_body_bytes":3,)"
+        R"("header_timeout_ms":-4,"idle_timeout_ms":"5"}})");
+    CHECK(limits.max_head_bytes == 2);
+    CHECK(limits.max_body_bytes == 3);
+    CHECK(limits.header_timeout_ms == 0);
+    CHECK(limits.idle_timeout_ms == 0);
+    for (const char* odd :
+         {"", "[]", "{}", R"({"limits":[]})", R"({"limits":{)", R"({"limits":null})"}) {
+        CAPTURE(odd);
+        CHECK(platform::parse_caller_limits(odd).max_body_bytes == 0);
+    }
+}
--- a/tests/unit/transport_test.cpp
+++ b/tests/unit/transport_test.cpp
@@ -120,9 +120,14 @@
     hello of_earlier_version;
     of_earlier_version.nonce = random_bytes(nonce_bytes);
     CHECK_FALSE(accepts_parts(of_earlier_version));
+    CHECK_FALSE(accepts_caller_limits(of_earlier_version));
+    of_earlier_version.nonce += '\1';
+    CHECK(accepts_parts(of_earlier_version));
+    CHECK_FALSE(accepts_caller_limits(of_earlier_version));
     hello current;
     current.nonce = make_nonce();
     CHECK(accepts_parts(current));
+    CHECK(accepts_caller_limits(current));
 }
 
 TEST_CASE("transport: parts beyond the maximum frame size are refused")
