HTTP server: a refused request keeps no copy of its head

By reading: a request whose body finds no memory is refused, and until its client sends the rest or stalls the copies of its key and path remained, uncounted; the path was kept twice, for the log. No crowd that we tried made this matter (others are dropped first), so there is no test of its own.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -39,6 +39,7 @@
 constexpr int head_too_large = 431;
 /** ": " and the end of the line. */
 constexpr std::size_t header_line_separators = 4;
+constexpr std::size_t max_logged_request_bytes = 256;
 /** Larger responses count as held memory until they have been sent. */
 constexpr std::size_t small_response_bytes = 16U << 10U;
 
@@ -51,7 +52,7 @@
     exchange_id id{0};
     /** Moved to the handler once the request is complete. */
     request incoming;
-    /** Method and path of the request, for the log. */
+    /** Method and the beginning of the path, for the log. */
     std::string request_line;
     std::optional<response> reply;
     MHD_Connection* connection{nullptr};
@@ -226,6 +227,9 @@
         created->connection = connection;
         created->began_at = loop.now();
         created->request_line = std::string{method} + " " + url;
+        created->request_line.resize(
+            std::min(created->request_line.size(), max_logged_request_bytes));
+        created->request_line.shrink_to_fit();
         created->incoming.method = method;
         created->incoming.path = url;
         created->incoming.authorization = find_header(connection, "Authorization");
@@ -276,7 +280,7 @@
     void reject(exchange& ex, response&& reply, const char* why)
     {
         ex.reply = std::move(reply);
-        release_body(ex);
+        release_request(ex);
         record_rejection("body_refused", "bodies_refused", ex, why);
     }
 
@@ -285,7 +289,7 @@
     void drop(exchange& ex, const char* why)
     {
         ex.dropped = true;
-        release_body(ex);
+        release_request(ex);
         receiving.erase(ex.id);
         held.remove(ex.id);
         // The library reads the end of the stream and ends the exchange.
@@ -293,10 +297,9 @@
         record_rejection("body_dropped", "bodies_dropped", ex, why);
     }
 
-    void release_body(exchange& ex)
+    void release_request(exchange& ex)
     {
-        ex.incoming.body.clear();
-        ex.incoming.body.shrink_to_fit();
+        ex.incoming = request{};
         held.try_resize(ex.id, 0);
     }
 
