--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "fescuestream/http/server.h"
 
+#include "exchange.h"
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/log_limiter.h"
 #include "fescuestream/http/held_bodies.h"
@@ -14,8 +15,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cstring>
 #include <set>
 #include <unordered_map>
 
@@ -26,7 +25,6 @@
 constexpr milliseconds daemon_poll_period{250};
 /** A request that was sent before the listening socket closed arrives within this time. */
 constexpr milliseconds drain_quiet_time{100};
-constexpr std::string_view bearer_prefix = "Bearer ";
 /** Connections are closed while less than this part of them is left, so that new callers find one.
  */
 constexpr std::size_t spare_connections_divisor = 16;
@@ -37,9 +35,6 @@
 constexpr milliseconds min_unread_response_time{1000};
 constexpr int body_too_large = 413;
 constexpr int head_too_large = 431;
-/** ": " and the end of the line. */
-constexpr std::size_t header_line_separators = 4;
-constexpr std::size_t max_logged_request_bytes = 256;
 /** Larger responses count as held memory until they have been sent. */
 constexpr std::size_t small_response_bytes = 16U << 10U;
 
@@ -48,84 +43,6 @@
     int socket{-1};
 };
 
-struct exchange {
-    exchange_id id{0};
-    /** Moved to the handler once the request is complete. */
-    request incoming;
-    /** Method and the beginning of the path, for the log. */
-    std::string request_line;
-    std::optional<response> reply;
-    MHD_Connection* connection{nullptr};
-    mono_time began_at{};
-    mono_time replied_at{};
-    bool dispatched{false};
-    bool suspended{false};
-    /** The library reads the response's body from the exchange until it has been sent. */
-    bool response_queued{false};
-    /** The request or its response was dropped; its connection is being closed. */
-    bool dropped{false};
-    /** Length that the request announces for its body; 0: none. */
-    std::size_t announced_bytes{0};
-    /** Part of the body that was received after the request had been rejected. */
-    std::size_t discarded_bytes{0};
-    /** Memory of the copied parts of the request's head. */
-    std::size_t head_bytes{0};
-};
-
-std::size_t count_head_bytes(const exchange& ex)
-{
-    const request& in = ex.incoming;
-    std::size_t bytes = in.method.size() + in.path.size() + ex.request_line.size() +
-                        in.content_type.size() + in.host.size();
-    const auto add = [&](const std::optional<std::string>& value) {
-        bytes += value ? value->size() : 0;
-    };
-    add(in.authorization);
-    add(in.idempotency_key);
-    add(in.if_match);
-    add(in.timeout_ms);
-    for (const auto& value : in.captured_headers) {
-        add(value);
-    }
-    return bytes;
-}
-
-std::optional<std::string> find_header(MHD_Connection* connection, const char* name)
-{
-    const char* text = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
-    if (text == nullptr) {
-        return std::nullopt;
-    }
-    return std::string{text};
-}
-
-/** @return the size of the header lines, without the request line. */
-std::size_t count_header_bytes(MHD_Connection* connection)
-{
-    std::size_t bytes = 0;
-    MHD_get_connection_values_n(
-        connection, MHD_HEADER_KIND,
-        [](void* sum, MHD_ValueKind /*kind*/, const char* /*name*/, std::size_t name_size,
-           const char* /*value*/, std::size_t value_size) {
-            *static_cast<std::size_t*>(sum) += name_size + value_size + header_line_separators;
-            return MHD_YES;
-        },
-        &bytes);
-    return bytes;
-}
-
-/** @return the length that the request announces for its body; 0 if it announces none. */
-std::size_t announced_length(MHD_Connection* connection)
-{
-    const auto text = find_header(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
-    std::size_t length = 0;
-    if (text) {
-        // The library has checked the syntax; it rejects lengths out of range.
-        std::from_chars(text->data(), text->data() + text->size(), length);
-    }
-    return length;
-}
-
 response make_too_large(int status)
 {
     return {
@@ -143,35 +60,6 @@
 
 } // namespace
 
-std::optional<std::string> request::bearer() const
-{
-    if (!authorization || !authorization->starts_with(bearer_prefix)) {
-        return std::nullopt;
-    }
-    return authorization->substr(bearer_prefix.size());
-}
-
-result<endpoint> parse_endpoint(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    endpoint out;
-    if (colon == std::string::npos) {
-        return error{error_kind::bad_request, "'" + text + "' is not IP:PORT"};
-    }
-    out.ip = text.substr(0, colon);
-    in_addr parsed{};
-    const char* first = text.data() + colon + 1;
-    const char* last = text.data() + text.size();
-    const auto [end, parse_error] = std::from_chars(first, last, out.port);
-    const bool port_ok = parse_error == std::errc{} && end == last && out.port != 0;
-    // inet_pton() reads up to the first NUL.
-    const bool has_nul = out.ip.find('\0') != std::string::npos;
-    if (has_nul || inet_pton(AF_INET, out.ip.c_str(), &parsed) != 1 || !port_ok) {
-        return error{error_kind::bad_request, "'" + text + "' is not IP:PORT"};
-    }
-    return out;
-}
-
 struct server::impl {
     event_loop& loop;
     handler on_request;
@@ -222,27 +110,7 @@
     MHD_Result begin_exchange(MHD_Connection* connection, const char* url, const char* method,
                               void** context)
     {
-        auto created = std::make_unique<exchange>();
-        created->id = next_id++;
-        created->connection = connection;
-        created->began_at = loop.now();
-        created->request_line = std::string{method} + " " + url;
-        created->request_line.resize(
-            std::min(created->request_line.size(), max_logged_request_bytes));
-        created->request_line.shrink_to_fit();
-        created->incoming.method = method;
-        created->incoming.path = url;
-        created->incoming.authorization = find_header(connection, "Authorization");
-        created->incoming.idempotency_key = find_header(connection, "Idempotency-Key");
-        created->incoming.if_match = find_header(connection, "If-Match");
-        created->incoming.timeout_ms = find_header(connection, "Request-Timeout-Ms");
-        created->incoming.content_type = find_header(connection, "Content-Type").value_or("");
-        created->incoming.host = find_header(connection, "Host").value_or("");
-        for (const std::string& name : kept_header_names) {
-            created->incoming.captured_headers.push_back(find_header(connection, name.c_str()));
-        }
-        created->announced_bytes = announced_length(connection);
-        created->head_bytes = count_head_bytes(*created);
+        auto created = read_head(connection, next_id++, method, url, kept_header_names, loop.now());
         exchange& ex = *created.release();
         *context = &ex;
         waiting.end(connection_of(connection).id);
