--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -402,6 +402,10 @@
             open_exchanges.emplace(ex.id, &ex);
             on_request(ex.id, std::move(ex.incoming));
         }
+        // The handler may have responded, and the response may have found no memory.
+        if (ex.dropped) {
+            return MHD_NO;
+        }
         if (ex.reply) {
             if (ex.replied_at == mono_time{}) {
                 hold_response(ex);
