Strings that are given up free their memory

Assigning std::string{} keeps the memory of the old text (libstdc++; a text of 1,000,000 bytes kept that capacity). So a refused body, a dropped response, a given up response of a server, the buffer of a large frame from a peer, and a stored answer of the product stayed in memory while they were no longer counted. free_memory() swaps instead.

--- a/src/catalogue/state.cpp
+++ b/src/catalogue/state.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/catalogue/state.h"
 
+#include "fescuestream/base/free_memory.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -378,7 +380,7 @@
             claim& stored = state_.claims.at(id);
             if (!stored.body.empty()) {
                 state_.stored_answer_bytes -= stored.body.size();
-                stored.body = std::string{};
+                free_memory(stored.body);
                 stored.outcome = claim_outcome::unknown;
             }
         }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/http/client.h"
 
+#include "fescuestream/base/free_memory.h"
+
 #include <curl/curl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -202,7 +204,7 @@
     void free_body(transfer& t)
     {
         receiving_bytes -= std::exchange(t.counted_bytes, 0);
-        t.response.body = std::string{};
+        free_memory(t.response.body);
     }
 
     static int on_socket(CURL* /*easy*/, curl_socket_t fd, int what, void* user_data,
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "fescuestream/http/server.h"
 
 #include "exchange.h"
+#include "fescuestream/base/free_memory.h"
 #include "fescuestream/base/log.h"
 #include "fescuestream/base/log_limiter.h"
 #include "fescuestream/http/held_bodies.h"
@@ -167,6 +168,7 @@
 
     void release_request(exchange& ex)
     {
+        const request freed = std::move(ex.incoming);
         ex.incoming = request{};
         held.try_resize(ex.id, 0);
     }
@@ -259,7 +261,7 @@
         ex.dropped = true;
         held.remove(ex.id);
         if (!ex.response_queued) {
-            ex.reply->body = std::string{};
+            free_memory(ex.reply->body);
         }
         // Frees the memory of a response of which the library has sent a part.
         ::shutdown(connection_of(ex.connection).socket, SHUT_RDWR);
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -1,5 +1,7 @@
 #include "fescuestream/wire/frame.h"
 
+#include "fescuestream/base/free_memory.h"
+
 #include <sodium.h>
 
 #include <cstring>
@@ -115,7 +117,7 @@
     std::string out{payload};
     consumed_ += frame_bytes;
     if (consumed_ == buffer_.size() && buffer_.capacity() > max_kept_buffer_bytes) {
-        buffer_ = std::string{};
+        free_memory(buffer_);
         consumed_ = 0;
     }
     return std::optional{std::move(out)};
