HTTP server: a dropped response frees its memory at once

When the memory for bodies was full, a large response that nobody read was dropped and no longer counted, but the library still read its body from the exchange until it had processed the end of the connection. Of a crowd that asks at once, all responses were in memory together. The library now asks for each block of 16 KiB of a large response and is told when it has been dropped.

--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -20,7 +20,7 @@
     bool dispatched{false};
     bool suspended{false};
     /** The library reads the response's body from the exchange until it has been sent. */
-    bool response_queued{false};
+    bool library_reads_body{false};
     /** The request or its response was dropped; its connection is being closed. */
     bool dropped{false};
     /** Length that the request announces for its body; 0: none. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,8 @@
 constexpr int head_too_large = 431;
 /** Larger responses count as held memory until they have been sent. */
 constexpr std::size_t small_response_bytes = 16U << 10U;
+/** Part of a large response that the library copies at a time. */
+constexpr std::size_t response_block_bytes = 16U << 10U;
 
 struct open_connection {
     connection_id id{0};
@@ -120,15 +122,15 @@
         receiving.emplace(ex.id, &ex);
         if (has_too_large_head(ex)) {
             reject(ex, make_too_large(head_too_large), "head_too_large");
-            return queue_response(connection, *ex.reply);
+            return queue_response(connection, ex);
         }
         if (ex.announced_bytes > limits.max_body_bytes) {
             reject(ex, make_too_large(body_too_large), "announced_too_large");
-            return queue_response(connection, *ex.reply);
+            return queue_response(connection, ex);
         }
         if (!reserve(ex, 0)) {
             reject(ex, make_no_memory(), "memory");
-            return queue_response(connection, *ex.reply);
+            return queue_response(connection, ex);
         }
         return MHD_YES;
     }
@@ -168,6 +170,7 @@
 
     void release_request(exchange& ex)
     {
+        // Assigning an empty request would keep the memory of its strings.
         const request freed = std::move(ex.incoming);
         ex.incoming = request{};
         held.try_resize(ex.id, 0);
@@ -260,10 +263,9 @@
         sending.erase({ex.replied_at, &ex});
         ex.dropped = true;
         held.remove(ex.id);
-        if (!ex.response_queued) {
+        if (!ex.library_reads_body) {
             free_memory(ex.reply->body);
         }
-        // Frees the memory of a response of which the library has sent a part.
         ::shutdown(connection_of(ex.connection).socket, SHUT_RDWR);
         record_rejection("response_dropped", "responses_dropped", ex, why);
     }
@@ -272,8 +274,9 @@
      * response is dropped. */
     void hold_response(exchange& ex)
     {
-        const bool small = ex.reply->body.size() <= small_response_bytes;
-        while (!held.try_resize(ex.id, small ? 0 : ex.reply->body.size())) {
+        const std::size_t bytes =
+            is_small(*ex.reply) ? 0 : ex.reply->body.size() + response_block_bytes;
+        while (!held.try_resize(ex.id, bytes)) {
             if (!drop_unread_response()) {
                 drop_response(ex, "memory");
                 return;
@@ -370,11 +373,35 @@
         }
     }
 
-    MHD_Result queue_response(MHD_Connection* connection, response& out) const
+    static bool is_small(const response& r) { return r.body.size() <= small_response_bytes; }
+
+    /** Copies a part of a large response for the library.
+     * @param user_data the exchange, which exists until the library has ended the request. */
+    static ssize_t read_response(void* user_data, std::uint64_t position, char* out,
+                                 std::size_t max_bytes)
+    {
+        const auto& ex = *static_cast<const exchange*>(user_data);
+        if (ex.dropped) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        return static_cast<ssize_t>(ex.reply->body.copy(out, max_bytes, position));
+    }
+
+    MHD_Result queue_response(MHD_Connection* connection, exchange& ex) const
     {
-        // The exchange keeps the body until the response has been sent.
-        MHD_Response* message = MHD_create_response_from_buffer(out.body.size(), out.body.data(),
-                                                                MHD_RESPMEM_PERSISTENT);
+        response& out = *ex.reply;
+        MHD_Response* message = nullptr;
+        if (is_small(out)) {
+            // The exchange keeps the body until the response has been sent.
+            ex.library_reads_body = true;
+            message = MHD_create_response_from_buffer(out.body.size(), out.body.data(),
+                                                      MHD_RESPMEM_PERSISTENT);
+        } else {
+            // The library asks for each part, so that the body can be freed before it has ended
+            // the request.
+            message = MHD_create_response_from_callback(out.body.size(), response_block_bytes,
+                                                        &read_response, &ex, nullptr);
+        }
         MHD_add_response_header(message, "Content-Type", out.content_type.c_str());
         for (const header& h : out.headers) {
             MHD_add_response_header(message, h.name.c_str(), h.value.c_str());
@@ -412,8 +439,7 @@
             if (ex.replied_at == mono_time{}) {
                 hold_response(ex);
             }
-            ex.response_queued = true;
-            return queue_response(connection, *ex.reply);
+            return queue_response(connection, ex);
         }
         ex.suspended = true;
         MHD_suspend_connection(connection);
--- a/tests/e2e/test_connection_crowds.py
+++ b/tests/e2e/test_connection_crowds.py
@@ -71,6 +71,33 @@
         self.check_ordinary_requests()
         self.check_processes()
 
+    def test_answers_that_are_asked_for_at_once(self):
+        """The library learns of dropped responses only after it has asked for all the others."""
+        self.start_job_service()
+        wait_for("the document", lambda: request(SCHEDULERS[0], CONTROL_PORT, "PUT", "/config",
+                                                 body=large_document()) == 200)
+        self.send_unread(SCHEDULERS[0], CONTROL_PORT, b"GET /config HTTP/1.1\r\nHost: x\r\n", count=56)
+        # Time to accept them; a connection that is accepted later only makes the crowd smaller.
+        time.sleep(0.5)
+        scheduler = self.processes[SCHEDULERS[0]]
+        scheduler.send_signal(signal.SIGSTOP)
+        for s in self.crowds[-1].sockets:
+            s.sendall(b"\r\n" + b"GET /config HTTP/1.1\r\nHost: x\r\n\r\n" * 20)
+        scheduler.send_signal(signal.SIGCONT)
+        self.check_ordinary_requests()
+        self.check_processes()
+
+    def test_answers_that_are_not_read_at_a_follower(self):
+        """The leader sends each response to the follower, whose connection to it is never idle."""
+        self.start_job_service()
+        wait_for("the document", lambda: request(SCHEDULERS[0], CONTROL_PORT, "PUT", "/config",
+                                                 body=large_document()) == 200)
+        for address in SCHEDULERS[1:]:
+            self.send_unread(address, CONTROL_PORT, b"GET /config HTTP/1.1\r\nHost: x\r\n\r\n" * 50)
+            time.sleep(1)
+        self.check_ordinary_requests()
+        self.check_processes()
+
     def test_small_answers_that_are_not_read(self):
         """They hold no memory to speak of, but all connections of the port."""
         self.start_job_service()
