Transport: bytes that a peer has received are removed from the queue

The queue of a connection that is never idle kept all bytes that had been sent, since it was cleared only when it was empty: a follower whose clients ask for a document again and again made the leader grow without a bound, and the limit on bytes queued for a peer did not see it.

--- a/src/wire/send_queue.cpp
+++ b/src/wire/send_queue.cpp
@@ -11,6 +11,8 @@
 
 /** Upper bound on the encoding of a part without its bytes. */
 constexpr std::size_t part_header_bytes = 64;
+/** Sent bytes in front of the others are removed from here on. */
+constexpr std::size_t max_consumed_bytes = 64U << 10U;
 /** Bits of the byte that follows the random bytes of a nonce. */
 constexpr unsigned char parts_accepted = 1;
 constexpr unsigned char caller_limits_accepted = 2;
@@ -55,6 +57,10 @@
     if (frames_.empty()) {
         frames_ = std::move(frame);
     } else {
+        if (frame.size() >= max_consumed_bytes) {
+            // Large frames do not double the buffer.
+            frames_.reserve(frames_.size() + frame.size());
+        }
         frames_ += frame;
     }
 }
@@ -84,6 +90,10 @@
     if (consumed_ == frames_.size()) {
         frames_.clear();
         consumed_ = 0;
+    } else if (consumed_ >= max_consumed_bytes && consumed_ >= frames_.size() - consumed_) {
+        // Each byte is moved once at most for each byte that has been sent.
+        frames_.erase(0, consumed_);
+        consumed_ = 0;
     }
 }
 
