--- a/src/wire/send_queue.cpp
+++ b/src/wire/send_queue.cpp
@@ -57,10 +57,6 @@
     if (frames_.empty()) {
         frames_ = std::move(frame);
     } else {
-        if (frame.size() >= max_consumed_bytes) {
-            // Large frames do not double the buffer.
-            frames_.reserve(frames_.size() + frame.size());
-        }
         frames_ += frame;
     }
 }
