--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -146,8 +146,59 @@
     return server
 
 
+GANG_TIMEOUT_S = 3.0  # gang_timeout_ms
+CHECKPOINT_MS = 500  # checkpoint_interval_s
+
+
+class Gang:
+    """The members of one run of a gang, on all workers. They work from the moment when all are present, which all carry the
+    same checkpoint, and end together."""
+
+    runs = {}  # (step, attempt, checkpoint) -> Gang
+    lock = threading.RLock()
+
+    def __init__(self, size, ms, checkpoint):
+        self.size, self.ms, self.members, self.begun = size, ms, {}, None
+        self.saved_before = int(checkpoint or "0", 16)
+
+    @staticmethod
+    def join(worker, body, spec):
+        step = body["task"].rsplit(".", 1)[0]
+        checkpoint = body.get("checkpoint", "")
+        with Gang.lock:
+            gang = Gang.runs.setdefault((step, body["attempt"], checkpoint), Gang(spec["gang"], spec["ms"], checkpoint))
+            gang.members[body["task"]] = worker
+            if len(gang.members) == gang.size:
+                gang.begun = time.monotonic()
+                worker.record.write(f"gang {step} attempt {body['attempt']}: all members are present, from checkpoint "
+                                    f"'{checkpoint}'")
+        return gang
+
+    def done_ms(self):
+        worked = int((time.monotonic() - self.begun) * 1000) if self.begun else 0
+        return min(self.ms, self.saved_before + worked)
+
+    def saved(self):
+        """Whole intervals of work."""
+        units = self.done_ms() // CHECKPOINT_MS * CHECKPOINT_MS
+        return f"{units:08x}" if units else ""
+
+    def is_done(self):
+        return self.begun is not None and self.done_ms() >= self.ms
+
+    def leave(self, task):
+        """Another member ends: the others are broken, if they were at work."""
+        with Gang.lock:
+            if self.members.pop(task, None) is None or self.begun is None or self.is_done():
+                return
+            others, self.members = dict(self.members), {}
+        for other, worker in others.items():
+            threading.Thread(target=worker.break_run, args=(other,), daemon=True).start()
+
+
 class Worker:
-    """One life of a worker. The spec of a task is a JSON text with `ms` (0: lasts) and `cpu`."""
+    """One life of a worker. The spec of a task is a JSON text with `ms` (0: lasts), `cpu` and, for the members of a gang,
+    `gang`, their number."""
 
     def __init__(self, record, worker_id, address, zone, service, capacity, control, rack="r1",
                  proxy=None):
@@ -178,8 +229,11 @@
         self.record.write(f"worker {self.id} crashes with {sorted(self.active)}, and is back in {for_s} s")
         with self.changed:
             self.up.clear()
-            self.active = {}
+            ended, self.active = self.active, {}
             self.changed.notify_all()
+        for task, run in ended.items():
+            if run["gang"]:
+                run["gang"].leave(task)
         self.server.end()
         threading.Timer(for_s, self.restart).start()
 
@@ -189,8 +243,11 @@
         self.record.write(f"worker {self.id} loses power with {sorted(self.active)}")
         with self.changed:
             self.up.clear()
-            self.active = {}
+            ended, self.active = self.active, {}
             self.changed.notify_all()
+        for task, run in ended.items():
+            if run["gang"]:
+                run["gang"].leave(task)
         self.server.end()
         threading.Timer(for_s, self.restart).start()
 
@@ -229,7 +286,10 @@
 
     def end(self, task, how):
         run = self.active.pop(task)
-        self.finished.append([self.next_end, task, run["attempt"], how, ""])
+        gang = run["gang"]
+        self.finished.append([self.next_end, task, run["attempt"], how, gang.saved() if gang and how != "done" else ""])
+        if gang:
+            gang.leave(task)
         self.next_end += 1
         self.ended[task] = max(self.ended.get(task, 0), run["attempt"])
         self.ends.append((self.record.now(), task, how))
@@ -245,12 +305,22 @@
                         self.end(task, "lapsed")
                 for task in [t for t, r in self.active.items() if r["until"] and now >= r["until"]]:
                     self.end(task, "done")
+                for task, run in [(t, r) for t, r in self.active.items() if r["gang"]]:
+                    if run["gang"].is_done():
+                        self.end(task, "done")
+                    elif run["gang"].begun is None and now - run["from"] > GANG_TIMEOUT_S * 1000:
+                        self.end(task, "alone")
             time.sleep(0.005)
 
+    def break_run(self, task):
+        with self.changed:
+            if task in self.active:
+                self.end(task, "broken")
+
     def lists(self):
         now = self.clock()
         return {"wall_clock_ms": now, "born": self.born,
-                "active": [[t, r["attempt"], "", 100 if now - r["from"] >= 100 else 50, r["cpu"]]
+                "active": [[t, r["attempt"], r["gang"].saved() if r["gang"] else "", 100 if now - r["from"] >= 100 else 50, r["cpu"]]
                            for t, r in self.active.items()],
                 "finished": [e for e in self.finished if e[0] > self.acked][:500]}
 
@@ -291,10 +361,12 @@
         if sum(r["cpu"] for r in self.active.values()) + spec["cpu"] > self.capacity["cpu"]:
             return 409, {**answer, "reason": "room"}
         now = self.clock()
-        self.active[task] = {"attempt": attempt, "from": now, "until": now + spec["ms"] if spec["ms"] else 0,
-                             "cpu": spec["cpu"]}
+        gang = Gang.join(self, body, spec) if "gang" in spec else None
+        until = now + spec["ms"] if spec["ms"] and not gang else 0
+        self.active[task] = {"attempt": attempt, "from": now, "until": until, "cpu": spec["cpu"], "gang": gang}
         self.starts.append((self.record.now(), task, attempt))
-        self.record.write(f"worker {self.id} in zone {self.zone}: start of {task} attempt {attempt}")
+        self.record.write(f"worker {self.id} in zone {self.zone}: start of {task} attempt {attempt}" +
+                          (f", checkpoint '{body.get('checkpoint', '')}'" if gang else ""))
         return 200, answer
 
     def stop_run(self, body, answer):
@@ -584,6 +656,13 @@
             "steps": [{"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": ms or 900, **step}]}
 
 
+def gang_job(ms, cpu, tasks, **step):
+    """A submission of one gang, which saves checkpoints."""
+    spec = {"ms": ms, "cpu": cpu, "gang": tasks}
+    return {"spec": json.dumps(spec), "steps": [{"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": ms, "gang": True,
+                                                 "checkpointing": True, **step}]}
+
+
 def job_id():
     return f"{random.getrandbits(64):016x}"
 
