--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -225,8 +225,10 @@
             self.up.set()
 
     def crash(self, for_s):
-        """Ends the process: what runs on it ends, its port refuses. It starts again under the same id."""
-        self.record.write(f"worker {self.id} crashes with {sorted(self.active)}, and is back in {for_s} s")
+        """Ends the process: what runs on it ends, its port refuses. After for_s it starts again under the same id, if that is
+        not None."""
+        back = f"is back in {for_s} s" if for_s else "is lost for good"
+        self.record.write(f"worker {self.id} crashes with {sorted(self.active)}, and {back}")
         with self.changed:
             self.up.clear()
             ended, self.active = self.active, {}
@@ -235,7 +237,8 @@
             if run["gang"]:
                 run["gang"].leave(task)
         self.server.end()
-        threading.Timer(for_s, self.restart).start()
+        if for_s:
+            threading.Timer(for_s, self.restart).start()
 
     def power_off(self, for_s):
         """Loses power: nothing answers, and what runs on it ends. It starts again under the same id."""
