--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,5 +1,5 @@
-"""Workers crash twice under one task of a submission that lasts. The submission is given up: its other tasks, at work on
-sound workers, are stopped all at once, and it is shown as failed."""
+"""A start that found no answer is sent again without a look at the tenant's cap: it runs although a config with a lower
+cap was confirmed seconds before."""
 
 import pathlib
 import sys
@@ -8,64 +8,58 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standin-3"))
 import standin
-from standin import TROUBLE, job, job_id, make_config, route, run_case
+from standin import TROUBLE, Proxy, job, job_id, make_config, route, run_case
 
-WORKERS = 8
-CRASH_S = 4.5  # for_s of srv_crash in the site file
-AT_WORK_S = 4.0  # how long the task is at work before its worker crashes
-TASKS, MAX_UNAVAILABLE = 3, 1
+CUT_S = 5.0
+CONFIG_APPLY_S = 2.0  # config_apply_ms
+TASK_CPU = 4000
+OLD_CAP, NEW_CAP = 40000, 8000
+OVERAGE = 0.1  # quota_overage
 
 
-def place_of(fleet, task):
-    return next((w for w in fleet.workers if task in w.active), None)
+def config(version, cap):
+    tenant = {"name": "t-a", "api_keys": ["key-of-t-a"], "priority": 1, "weight": 10,
+              "cap": {"cpu": cap, "mem_mb": 0, "gpu": 0}}
+    return make_config(version, [route("r-a", "harga", public=False)], ["harga"], [tenant])
 
 
-def stops_beyond(fleet, tasks, since):
-    """The stops of tasks at work while so many others of the step are away."""
-    stops = sorted((at, task, w) for w in fleet.workers for at, task, how in w.ends if how == "stopped" and at >= since)
-    away, beyond = set(), []
-    for at, task, w in stops:
-        if len(away - {task}) >= MAX_UNAVAILABLE:
-            beyond.append(f"{task} on {w.id} at {at:.3f}")
-        away.add(task)
-    return beyond
+def submit(fleet, tasks, ms):
+    status, _ = fleet.client("POST", f"/kafi/{job_id()}", job(ms, TASK_CPU, tasks), key="key-of-t-a")
+    if status != 200:
+        raise standin.CouldNotRun(f"a submission got {status}")
 
 
 def play(fleet):
-    # One crash at a time: 1 of 8 workers (share 0.125).
-    for i in range(WORKERS):
-        zone = fleet.zones[i % 2]
-        fleet.add_worker(f"i-{zone}-{i}", zone, "harga", {"cpu": 16000, "mem_mb": 32768, "gpu": 0})
-    fleet.start(make_config(1, [route("r-a", "harga")], ["harga"]))
-    submission = job_id()
-    tasks = [f"{submission}.0.0.{i}" for i in range(TASKS)]
-    status, _ = fleet.client("POST", f"/kafi/{submission}",
-                             job(0, 4000, TASKS, long_running=True, max_unavailable=MAX_UNAVAILABLE, anti_affinity=1))
-    if status != 200:
-        raise standin.CouldNotRun(f"the submission got {status}")
-    fleet.wait(lambda: all(place_of(fleet, t) for t in tasks), 10, "the tasks to start")
-    last_crash = fleet.record.now()
-    for _ in range(2):
-        time.sleep(AT_WORK_S)
-        if not TROUBLE:
-            continue
-        # Another worker each time. It runs this task and nothing else.
-        place_of(fleet, tasks[0]).crash(CRASH_S)
-        last_crash = fleet.record.now()
-        until = time.monotonic() + 20
-        while not place_of(fleet, tasks[0]) and time.monotonic() < until:
-            time.sleep(0.05)
-        if not place_of(fleet, tasks[0]):
-            break
-    time.sleep(20.0)
-    status, answer = fleet.client("GET", f"/kafi/{submission}")
-    running = [t for t in tasks if place_of(fleet, t)]
-    beyond = stops_beyond(fleet, tasks, last_crash)
-    fleet.record.write(f"state {answer}; tasks that run: {len(running)} of {TASKS}; all workers are up; stops of tasks at "
-                       f"work while {MAX_UNAVAILABLE} or more others are away: {beyond}")
-    if beyond:
-        return (f"AVAIL: {len(beyond)} tasks at work were stopped while {MAX_UNAVAILABLE} or more others of their step "
-                f"were away; state {answer.get('state')}, {len(running)} of {TASKS} tasks run")
+    # Eight tasks fit the first worker; the second one has room for the ninth.
+    fleet.add_worker("i-jkt-0", "jkt", "harga", {"cpu": 8 * TASK_CPU, "mem_mb": 32768, "gpu": 0})
+    fleet.start(config(1, OLD_CAP))
+    submit(fleet, 8, 90000)
+    first = fleet.workers[0]
+    fleet.wait(lambda: len(first.starts) == 8, 10, "the first eight tasks to run")
+    fleet.add_worker("i-bdg-1", "bdg", "harga", {"cpu": 8 * TASK_CPU, "mem_mb": 32768, "gpu": 0}, proxy=True)
+    second = fleet.workers[1]
+    time.sleep(4.0)
+    if TROUBLE:
+        second.proxy.cut()
+        fleet.record.write("the worker i-bdg-1 is cut off from all machines")
+    cut_at = fleet.record.now()
+    submit(fleet, 1, 90000)
+    time.sleep(1.2)
+    fleet.put_config(config(2, NEW_CAP))
+    confirmed = fleet.record.now()
+    time.sleep(max(0.0, cut_at + CUT_S - fleet.record.now()))
+    if TROUBLE:
+        second.proxy.join()
+        fleet.record.write("the worker i-bdg-1 is reached again")
+    time.sleep(12.0)
+    late = [s for s in second.starts if s[0] > confirmed + CONFIG_APPLY_S]
+    running = sum(len(w.active) for w in fleet.workers) * TASK_CPU
+    limit = NEW_CAP * (1 + OVERAGE) + TASK_CPU
+    fleet.record.write(f"cap {NEW_CAP} confirmed at {confirmed:.3f}; starts later than {confirmed + CONFIG_APPLY_S:.3f}: "
+                       f"{late}; running {running}, allowed after a start {limit:.0f}")
+    if late and running > limit:
+        return (f"QUOTA: {late[0][1]} was started {late[0][0] - confirmed:.1f} s after the cap of {NEW_CAP} was confirmed "
+                f"and brings what the tenant has running to {running}, over {limit:.0f}")
     return ""
 
 
