--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,65 +1,47 @@
-"""A start that found no answer is sent again without a look at the tenant's cap: it runs although a config with a lower
-cap was confirmed seconds before."""
+"""An edge machine freezes with a submission in its socket. The client hears nothing and cancels: 410, no such submission.
+When the machine wakes, the submission is accepted and runs."""
 
 import pathlib
+import signal
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standin-3"))
 import standin
-from standin import TROUBLE, Proxy, job, job_id, make_config, route, run_case
+from standin import TROUBLE, job, job_id, make_config, route, run_case
 
-CUT_S = 5.0
-CONFIG_APPLY_S = 2.0  # config_apply_ms
-TASK_CPU = 4000
-OLD_CAP, NEW_CAP = 40000, 8000
-OVERAGE = 0.1  # quota_overage
-
-
-def config(version, cap):
-    tenant = {"name": "t-a", "api_keys": ["key-of-t-a"], "priority": 1, "weight": 10,
-              "cap": {"cpu": cap, "mem_mb": 0, "gpu": 0}}
-    return make_config(version, [route("r-a", "harga", public=False)], ["harga"], [tenant])
-
-
-def submit(fleet, tasks, ms):
-    status, _ = fleet.client("POST", f"/kafi/{job_id()}", job(ms, TASK_CPU, tasks), key="key-of-t-a")
-    if status != 200:
-        raise standin.CouldNotRun(f"a submission got {status}")
+FREEZE_S = 7.2
+CANCEL_S = 3.0  # cancel_ms
 
 
 def play(fleet):
-    # Eight tasks fit the first worker; the second one has room for the ninth.
-    fleet.add_worker("i-jkt-0", "jkt", "harga", {"cpu": 8 * TASK_CPU, "mem_mb": 32768, "gpu": 0})
-    fleet.start(config(1, OLD_CAP))
-    submit(fleet, 8, 90000)
-    first = fleet.workers[0]
-    fleet.wait(lambda: len(first.starts) == 8, 10, "the first eight tasks to run")
-    fleet.add_worker("i-bdg-1", "bdg", "harga", {"cpu": 8 * TASK_CPU, "mem_mb": 32768, "gpu": 0}, proxy=True)
-    second = fleet.workers[1]
-    time.sleep(4.0)
+    fleet.add_worker("i-jkt-0", "jkt", "harga", {"cpu": 16000, "mem_mb": 32768, "gpu": 0})
+    fleet.start(make_config(1, [route("r-a", "harga")], ["harga"]))
+    if fleet.client("POST", f"/kafi/{job_id()}", job(500, 4000))[0] != 200:
+        raise standin.CouldNotRun("a submission was not accepted")
+    fleet.wait(lambda: fleet.workers[0].ends, 10, "a task to run")
+    first, second = fleet.edges
+    submission = job_id()
+    frozen_at = fleet.record.now()
     if TROUBLE:
-        second.proxy.cut()
-        fleet.record.write("the worker i-bdg-1 is cut off from all machines")
-    cut_at = fleet.record.now()
-    submit(fleet, 1, 90000)
-    time.sleep(1.2)
-    fleet.put_config(config(2, NEW_CAP))
-    confirmed = fleet.record.now()
-    time.sleep(max(0.0, cut_at + CUT_S - fleet.record.now()))
+        first.signal(signal.SIGSTOP)
+    status, _ = fleet.client("POST", f"/kafi/{submission}", job(60000, 4000), edge=first)
+    cancelled, _ = fleet.client("DELETE", f"/kafi/{submission}", edge=second)
+    acknowledged = fleet.record.now()
+    if cancelled not in (200, 410):
+        raise standin.CouldNotRun(f"the cancelling got {cancelled}")
+    time.sleep(max(0.0, frozen_at + FREEZE_S - fleet.record.now()))
     if TROUBLE:
-        second.proxy.join()
-        fleet.record.write("the worker i-bdg-1 is reached again")
-    time.sleep(12.0)
-    late = [s for s in second.starts if s[0] > confirmed + CONFIG_APPLY_S]
-    running = sum(len(w.active) for w in fleet.workers) * TASK_CPU
-    limit = NEW_CAP * (1 + OVERAGE) + TASK_CPU
-    fleet.record.write(f"cap {NEW_CAP} confirmed at {confirmed:.3f}; starts later than {confirmed + CONFIG_APPLY_S:.3f}: "
-                       f"{late}; running {running}, allowed after a start {limit:.0f}")
-    if late and running > limit:
-        return (f"QUOTA: {late[0][1]} was started {late[0][0] - confirmed:.1f} s after the cap of {NEW_CAP} was confirmed "
-                f"and brings what the tenant has running to {running}, over {limit:.0f}")
+        first.signal(signal.SIGCONT)
+    time.sleep(8.0)
+    late = [s for s in fleet.workers[0].starts if s[1].startswith(submission) and s[0] > acknowledged + CANCEL_S]
+    state = fleet.client("GET", f"/kafi/{submission}", edge=second)
+    fleet.record.write(f"submitted: {status}; cancelled: {cancelled} at {acknowledged:.3f}; starts later than cancel_ms after "
+                       f"that: {late}; state {state}")
+    if late:
+        return (f"UNASKED: a task starts {late[0][0] - acknowledged:.1f} s after the submission's cancelling was answered "
+                f"{cancelled}; state {state[1]}")
     return ""
 
 
