--- a/review/12/case.py
+++ b/review/12/case.py
@@ -13,7 +13,8 @@
 CUT_S = 5.0
 CONFIG_APPLY_S = 2.0  # config_apply_ms
 TASK_CPU = 4000
-OLD_CAP, NEW_CAP = 40000, 8000
+FULL_WORKERS, TASKS_PER_WORKER = 5, 2
+OLD_CAP, NEW_CAP = 48000, 8000
 OVERAGE = 0.1  # quota_overage
 
 
@@ -30,18 +31,20 @@
 
 
 def play(fleet):
-    # Eight tasks fit the first worker; the second one has room for the ninth.
-    fleet.add_worker("i-jkt-0", "jkt", "harga", {"cpu": 8 * TASK_CPU, "mem_mb": 32768, "gpu": 0})
+    # Five workers are full; the sixth one, which is cut off (1 of 6, share 0.167), has room for the next task.
+    capacity = {"cpu": TASKS_PER_WORKER * TASK_CPU, "mem_mb": 32768, "gpu": 0}
+    for i in range(FULL_WORKERS):
+        zone = fleet.zones[i % 2]
+        fleet.add_worker(f"i-{zone}-{i}", zone, "harga", capacity)
     fleet.start(config(1, OLD_CAP))
-    submit(fleet, 8, 90000)
-    first = fleet.workers[0]
-    fleet.wait(lambda: len(first.starts) == 8, 10, "the first eight tasks to run")
-    fleet.add_worker("i-bdg-1", "bdg", "harga", {"cpu": 8 * TASK_CPU, "mem_mb": 32768, "gpu": 0}, proxy=True)
-    second = fleet.workers[1]
+    tasks = FULL_WORKERS * TASKS_PER_WORKER
+    submit(fleet, tasks, 90000)
+    fleet.wait(lambda: sum(len(w.starts) for w in fleet.workers) == tasks, 15, "the first tasks to run")
+    second = fleet.add_worker("i-bdg-5", "bdg", "harga", capacity, proxy=True)
     time.sleep(4.0)
     if TROUBLE:
         second.proxy.cut()
-        fleet.record.write("the worker i-bdg-1 is cut off from all machines")
+        fleet.record.write("the worker i-bdg-5 is cut off from all machines")
     cut_at = fleet.record.now()
     submit(fleet, 1, 90000)
     time.sleep(1.2)
@@ -50,7 +53,7 @@
     time.sleep(max(0.0, cut_at + CUT_S - fleet.record.now()))
     if TROUBLE:
         second.proxy.join()
-        fleet.record.write("the worker i-bdg-1 is reached again")
+        fleet.record.write("the worker i-bdg-5 is reached again")
     time.sleep(12.0)
     late = [s for s in second.starts if s[0] > confirmed + CONFIG_APPLY_S]
     running = sum(len(w.active) for w in fleet.workers) * TASK_CPU
