What a cancel was told is in the log: no such job, and none later

What callers saw: a submission was held up in a stopped entry, its cancel at another entry got 410, and the job ran when the entry went on, if the leader had changed in between, or if 12,000 unknown ids had been cancelled. The caller kept its connection to the stopped entry open, so that the entry could not know.

Cause: the leader kept the ids that it had answered with 410 in its memory only, 10,000 of all accounts together, and dropped the oldest beyond that.

Change: a refused id is a command of the log, and 410 is answered once that is applied. A submission is checked against the refused ids when it is applied, whichever leader proposed it. Ids are dropped at the second of two rotations, a minute apart, never before. At the bound nothing is dropped: a cancel that can't be recorded gets 503. An account may take at most as much room as it leaves free, so that there is always some for others. The commands are proposed only while all schedulers announce in their greeting that they know them; until then the leader keeps the ids in memory as before, within the same bounds.

Why it works: a submission enters the log before the refusal, so that the cancel finds the job or gets 504, or behind it, and is refused.

Five cases of caller_api_test, three of jobs_test. The case "cancelled ids: they are kept for a minute, and the oldest are dropped beyond the limit" demanded the loss that is mended here; its first half is kept in "refused ids are kept for a minute, and dropped after two", its second is replaced by the opposite, "a flood of cancels ... does not bring a refused job back".

--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -239,8 +239,36 @@
     }
 };
 
-using command = std::variant<no_operation, put_document, set_data_centre, submit_job, cancel_job,
-                             start_occurrence, start_runs, end_runs, start_maintenance,
-                             step_maintenance, order_machine, remove_jobs, freeze_leases>;
+/**
+ * Records that the account was told that no such job exists: a submission that is applied later is
+ * refused. Proposed only while every scheduler knows this command.
+ */
+struct refuse_job {
+    team_id account;
+    job_id id;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(account, id);
+    }
+};
+
+/** Drops the refused ids that are older than the previous rotation. */
+struct rotate_refused_jobs {
+    /** One more than refused_jobs::rotations(); others are ignored. */
+    std::uint64_t number{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number);
+    }
+};
+
+using command =
+    std::variant<no_operation, put_document, set_data_centre, submit_job, cancel_job,
+                 start_occurrence, start_runs, end_runs, start_maintenance, step_maintenance,
+                 order_machine, remove_jobs, freeze_leases, refuse_job, rotate_refused_jobs>;
 
 } // namespace fescue::jobs
--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -9,6 +9,7 @@
 #include "fescuestream/base/error.h"
 #include "fescuestream/jobs/command.h"
 #include "fescuestream/jobs/crash_record.h"
+#include "fescuestream/jobs/refused_jobs.h"
 
 #include <map>
 #include <optional>
@@ -156,6 +157,8 @@
     /** Tasks whose runs were lost with a server. Kept for a job given up because of them until the
      * job is removed. */
     std::map<task_id, crash_record> crash_records;
+    /** Ids that were cancelled before their submission arrived. */
+    refused_jobs refused;
 
     // Indexes derived from the fields above; not part of a snapshot.
     /** Jobs that have not ended or still have running tasks. */
@@ -184,9 +187,12 @@
     {
         archive(doc, out_of_service, jobs, waves, machine_orders);
         // Versions without these fields read snapshots that omit them, and write such snapshots.
-        if (!frozen_leases.empty() || !crash_records.empty()) {
+        if (!frozen_leases.empty() || !crash_records.empty() || !refused.empty()) {
             archive(frozen_leases, crash_records);
         }
+        if (!refused.empty()) {
+            archive(refused);
+        }
     }
     template <class Archive>
     void load(Archive& archive)
@@ -195,6 +201,9 @@
         if (archive.remaining() > 0) {
             archive(frozen_leases, crash_records);
         }
+        if (archive.remaining() > 0) {
+            archive(refused);
+        }
     }
 };
 
--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -23,6 +23,11 @@
 constexpr milliseconds proposal_timeout{2000};
 /** Retry-After of a job for which there is no memory; most jobs end within seconds. */
 constexpr std::int64_t memory_retry_ms = 2000;
+/** Refused ids are kept for one to two times this. Longer than instances stand still and partitions
+ * last on the users' installations, 10 s. */
+constexpr milliseconds refusal_period{60'000};
+/** Size of a refusal's command in the log, without the account. */
+constexpr std::size_t refusal_bytes = 32;
 
 /** @return the properties of a job that affect its scheduling, for the log. */
 std::string job_features(const jobs::job_spec& spec)
@@ -57,6 +62,26 @@
     return error_reply(not_found, "not_found", "no queue matches the path, or it names no job");
 }
 
+wire::forwarded_reply no_such_job()
+{
+    return error_reply(gone, "not_found", "no such job");
+}
+
+wire::forwarded_reply refuse_cancelled_job(const jobs::job_id& id)
+{
+    log::info("job_refused", {{"job", id.text()}, {"why", "cancelled before it arrived"}});
+    return error_reply(gone, "not_found", "the job was cancelled before it arrived");
+}
+
+wire::forwarded_reply too_many_refusals()
+{
+    wire::forwarded_reply out =
+        error_reply(service_unavailable, "not_serving",
+                    "too many jobs that do not exist were cancelled; the job may be accepted");
+    out.retry_after_ms = refusal_period.count();
+    return out;
+}
+
 } // namespace
 
 void caller_api::handle_call(const wire::forwarded_call& in, const reply_function& reply)
@@ -111,9 +136,9 @@
         reply(acknowledge(account, queue, *id));
         return;
     }
-    if (cancelled_ids_.contains(account, *id, context_.now())) {
-        log::info("job_refused", {{"job", job_id_text}, {"why", "cancelled before it arrived"}});
-        reply(error_reply(gone, "not_found", "the job was cancelled before it arrived"));
+    if (context_.state().refused.contains(account, *id) ||
+        unrecorded_refusals_.contains(account, *id)) {
+        reply(refuse_cancelled_job(*id));
         return;
     }
     auto spec = context_.server_protocol.parse_job(in.body);
@@ -150,6 +175,10 @@
                                   "the job may have been accepted"));
                 return;
             }
+            if (value(outcome).refused) {
+                reply(refuse_cancelled_job(id));
+                return;
+            }
             context_.counters.observe(latency_kind::job_accept, context_.now() - received_at);
             reply(acknowledge(account, queue, id));
         });
@@ -222,7 +251,7 @@
     }
     const jobs::job* job = find_job(account, queue, *id);
     if (job == nullptr) {
-        reply(error_reply(gone, "not_found", "no such job"));
+        reply(no_such_job());
         return;
     }
     reply({0, ok_status, context_.server_protocol.format_job_phase(job->phase), 0});
@@ -243,10 +272,11 @@
         return;
     }
     if (find_job(account, queue, *id) == nullptr) {
-        if (!exists) {
-            cancelled_ids_.record(account, *id, context_.now());
+        if (exists) {
+            reply(no_such_job());
+        } else {
+            refuse_later_submission(account, *id, reply);
         }
-        reply(error_reply(gone, "not_found", "no such job"));
         return;
     }
     log::info("job_cancelling", {{"job", job_id_text}, {"account", account.str()}});
@@ -261,6 +291,56 @@
                          });
 }
 
+void caller_api::refuse_later_submission(const team_id& account, const jobs::job_id& id,
+                                         const reply_function& reply)
+{
+    const jobs::refused_jobs& recorded = context_.state().refused;
+    if (recorded.contains(account, id)) {
+        reply(no_such_job());
+        return;
+    }
+    jobs::refused_jobs& unrecorded = unrecorded_refusals_;
+    if (!recorded.has_room(account) || !unrecorded.has_room(account) ||
+        !context_.log_has_room(refusal_bytes + account.str().size())) {
+        context_.counters.count("cancels_refused");
+        reply(too_many_refusals());
+        return;
+    }
+    if (!context_.log_accepts_refusals) {
+        unrecorded.add(account, id);
+        reply(no_such_job());
+        return;
+    }
+    context_.log.propose(
+        jobs::refuse_job{account, id}, proposal_timeout,
+        [reply](const result<jobs::outcome>& outcome) {
+            if (!ok(outcome)) {
+                reply(error_reply(gateway_timeout, "outcome_unknown",
+                                  "a submission of the job may be accepted"));
+            } else if (const auto& refused = value(outcome).refused; !refused) {
+                reply(no_such_job());
+            } else if (refused->kind == error_kind::at_limit) {
+                reply(too_many_refusals());
+            } else {
+                reply(error_reply(gateway_timeout, "outcome_unknown", refused->detail));
+            }
+        });
+}
+
+void caller_api::drop_old_refusals()
+{
+    const mono_time now = context_.now();
+    if (now - rotated_at_ < refusal_period) {
+        return;
+    }
+    rotated_at_ = now;
+    unrecorded_refusals_.rotate(unrecorded_refusals_.rotations() + 1);
+    const jobs::refused_jobs& recorded = context_.state().refused;
+    if (!recorded.empty()) {
+        context_.log.propose_here(jobs::rotate_refused_jobs{recorded.rotations() + 1});
+    }
+}
+
 std::size_t caller_api::count_pending(const jobs::queue_id& queue) const
 {
     std::size_t out = 0;
--- a/src/fleet/caller_api.h
+++ b/src/fleet/caller_api.h
@@ -6,7 +6,6 @@
  * pending jobs of a queue.
  */
 
-#include "cancelled_ids.h"
 #include "core_context.h"
 
 #include "fescuestream/wire/message.h"
@@ -25,6 +24,9 @@
 
     /** Replies to a call, possibly after it returns. Precondition: this instance leads. */
     void handle_call(const wire::forwarded_call& in, const reply_function& reply);
+    void on_leadership_gained() { rotated_at_ = context_.now(); }
+    /** Drops the refused ids that are older than a submission may be on its way. */
+    void drop_old_refusals();
 
 private:
     void submit(const wire::forwarded_call& in, const jobs::queue& queue, const team_id& account,
@@ -37,6 +39,10 @@
                    const reply_function& reply) const;
     void cancel(const team_id& account, const jobs::queue& queue, const std::string& job_id_text,
                 const reply_function& reply);
+    /** Answers a cancel of a job that does not exist, once a submission that is on its way can't be
+     * accepted any more. */
+    void refuse_later_submission(const team_id& account, const jobs::job_id& id,
+                                 const reply_function& reply);
     std::size_t count_pending(const jobs::queue_id& queue) const;
     /** @return the job, or nullptr if it does not exist or is not the caller's. */
     const jobs::job* find_job(const team_id& account, const jobs::queue& queue,
@@ -51,7 +57,10 @@
                                                            std::size_t document_bytes);
 
     core_context& context_;
-    cancelled_ids cancelled_ids_;
+    /** Refused ids that could not be recorded in the log, since a scheduler of an earlier version
+     * would not understand them. */
+    jobs::refused_jobs unrecorded_refusals_;
+    mono_time rotated_at_{};
 };
 
 } // namespace fescue::fleet
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -110,6 +110,9 @@
          }}};
     /** Connected schedulers that know the messages of stamped orders. */
     std::set<instance_id> stamping_peers;
+    /** The schedulers that know the commands on refused jobs, and those connected that don't. */
+    std::set<instance_id> refusing_peers;
+    std::set<instance_id> outdated_peers;
     std::uint64_t next_number{wire::random_first_number()};
     /** The entries that know the message, and what they were sent last; version 0: nothing. */
     std::set<instance_id> limit_receivers;
@@ -140,6 +143,7 @@
                         [this](const instance_id& id) {
                             limit_receivers.erase(id);
                             stamping_peers.erase(id);
+                            outdated_peers.erase(id);
                             membership->on_disconnected(id);
                             order_relay->on_disconnected(id);
                             expire_all_forwards();
@@ -200,6 +204,7 @@
         timers.push_back(loop.every(membership_period, [this] {
             send_caller_limits();
             membership->tick();
+            context->log_accepts_refusals = log_accepts_refusals();
             order_relay->set_relay_peers(membership->connected_by_data_centre());
         }));
         timers.push_back(loop.every(job_purge_period, [this] { purge_old_jobs(); }));
@@ -256,6 +261,7 @@
             runs->on_leadership_gained();
             task_dispatcher->on_leadership_gained();
             machines->on_leadership_gained();
+            callers->on_leadership_gained();
         } else if (!leads && runs->leading()) {
             log::info("not_leading", {{"term", replica.term()}});
             runs->on_leadership_lost();
@@ -273,8 +279,20 @@
 
     bool may_serve() const { return runs->leading() && context->has_leader_lease(); }
 
+    /** An instance that does not know a command of the log halts. */
+    bool log_accepts_refusals() const
+    {
+        return outdated_peers.empty() &&
+               std::ranges::all_of(log->replica().voters().voters, [&](const auto& voter) {
+                   return voter.id == settings.id || refusing_peers.contains(voter.id);
+               });
+    }
+
     void purge_old_jobs()
     {
+        if (may_serve()) {
+            callers->drop_old_refusals();
+        }
         // Every scheduler observes the ends, so that a change of leader does not restart the time.
         const jobs::remove_jobs cmd{retention.observe(log->state(), loop.now())};
         if (!cmd.ids.empty() && may_serve()) {
@@ -329,6 +347,12 @@
         if (wire::accepts_order_stamps(who)) {
             stamping_peers.insert(who.from);
         }
+        if (wire::accepts_job_refusals(who)) {
+            refusing_peers.insert(who.from);
+        } else {
+            refusing_peers.erase(who.from);
+            outdated_peers.insert(who.from);
+        }
         wire::server_reports update;
         for (const auto& [id, view] : runs->servers()) {
             const auto age =
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -315,6 +315,9 @@
     if (s.jobs.contains(cmd.id)) {
         return {};
     }
+    if (s.refused.contains(cmd.account, cmd.id)) {
+        return {error{error_kind::not_found, "the job was cancelled before it arrived"}, false};
+    }
     job new_job;
     new_job.queue = cmd.queue;
     new_job.terms = cmd.terms;
@@ -346,6 +349,29 @@
     return {std::nullopt, true};
 }
 
+outcome apply_command(state& s, const refuse_job& cmd)
+{
+    if (const auto found = s.jobs.find(cmd.id);
+        found != s.jobs.end() && found->second.account == cmd.account) {
+        return {error{error_kind::conflict, "the job was accepted meanwhile"}, false};
+    }
+    if (s.refused.contains(cmd.account, cmd.id)) {
+        return {};
+    }
+    if (!s.refused.has_room(cmd.account)) {
+        return {error{error_kind::at_limit, "too many jobs were cancelled before they arrived"},
+                false};
+    }
+    s.refused.add(cmd.account, cmd.id);
+    return {std::nullopt, true};
+}
+
+outcome apply_command(state& s, const rotate_refused_jobs& cmd)
+{
+    s.refused.rotate(cmd.number);
+    return {std::nullopt, true};
+}
+
 outcome apply_command(state& s, const start_occurrence& cmd)
 {
     const auto found = s.jobs.find(cmd.id);
--- a/src/wire/send_queue.cpp
+++ b/src/wire/send_queue.cpp
@@ -17,6 +17,7 @@
 constexpr unsigned char parts_accepted = 1;
 constexpr unsigned char caller_limits_accepted = 2;
 constexpr unsigned char order_stamps_accepted = 4;
+constexpr unsigned char job_refusals_accepted = 8;
 
 bool has_flag(const hello& from, unsigned char flag)
 {
@@ -40,8 +41,9 @@
 
 std::string make_nonce()
 {
-    return random_bytes(nonce_bytes) +
-           static_cast<char>(parts_accepted | caller_limits_accepted | order_stamps_accepted);
+    return random_bytes(nonce_bytes) + static_cast<char>(parts_accepted | caller_limits_accepted |
+                                                         order_stamps_accepted |
+                                                         job_refusals_accepted);
 }
 
 bool accepts_parts(const hello& from)
@@ -59,6 +61,11 @@
     return has_flag(from, order_stamps_accepted);
 }
 
+bool accepts_job_refusals(const hello& from)
+{
+    return has_flag(from, job_refusals_accepted);
+}
+
 void send_queue::push(std::string&& frame)
 {
     if (frames_.empty()) {
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -13,6 +13,7 @@
 constexpr int not_found = 404;
 constexpr int conflict = 409;
 constexpr int gone = 410;
+constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
 const std::string job_text = "0123456789abcdef";
@@ -46,7 +47,10 @@
 /** A leader with a single-instance log that handles callers' requests. */
 class leader_of_one {
 public:
-    leader_of_one()
+    leader_of_one() { start(); }
+    explicit leader_of_one(manual_clock clock) : has_manual_clock{true}, loop{clock} { start(); }
+
+    void start()
     {
         log.replica().form(7, loop.now());
         run_until([&] { return log.replica().settled(); });
@@ -70,7 +74,7 @@
         in.path = path;
         in.key = key;
         in.body = R"({"spec":"x","steps":[{"count":1,"cpu":1000}]})";
-        callers.handle_call(in, reply);
+        callers->handle_call(in, reply);
     }
 
     /** @return the reply to a call. */
@@ -90,16 +94,30 @@
         return call(method, path, key).status;
     }
 
+    /** Elects a leader that knows only the log. */
+    void replace_leader()
+    {
+        const term_number before = log.replica().term();
+        log.replica().resign(loop.now());
+        run_until([&] { return log.replica().settled() && log.replica().term() > before; });
+        callers.emplace(context);
+    }
+
     void run_until(const std::function<bool()>& condition)
     {
-        const mono_time end = loop.now() + 3s;
+        const mono_time end = loop.now() + 6s;
         while (!condition() && loop.now() < end) {
+            if (has_manual_clock) {
+                loop.advance(5ms);
+                continue;
+            }
             const auto stop = loop.after(5ms, [this] { loop.stop(); });
             loop.run();
         }
         REQUIRE(condition());
     }
 
+    bool has_manual_clock{false};
     event_loop loop;
     settings::job_service_settings settings;
     protocol wire{platform::make_protocol()};
@@ -115,7 +133,7 @@
                 {[](const instance_id&, const wire::message&) { return false; },
                  [](const jobs::command&, const jobs::outcome&) {}, [] {}, [](const error&) {}}};
     core_context context{loop, settings, wire, client, orders, log, counters};
-    caller_api callers{context};
+    std::optional<caller_api> callers{std::in_place, context};
 };
 
 } // namespace
@@ -186,19 +204,91 @@
     CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == ok_status);
 }
 
-TEST_CASE("cancelled ids: they are kept for a minute, and the oldest are dropped beyond the limit")
+// Guards against a job that runs although its caller was told that it does not exist: the leader
+// that said so is gone when the submission arrives.
+TEST_CASE("caller api: the next leader refuses a submission whose cancel found no job")
+{
+    leader_of_one leader;
+    CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == gone);
+    leader.replace_leader();
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == gone);
+    CHECK(leader.status_of("GET", "/orders/" + job_text, shop_key) == gone);
+    CHECK(leader.log.state().jobs.empty());
+}
+
+// Guards against a submission that an earlier leader proposes after a later one has denied the job.
+TEST_CASE("caller api: a submission that enters the log after a refusal is refused")
+{
+    leader_of_one leader;
+    std::optional<int> cancelled;
+    leader.begin_call("DELETE", "/orders/" + job_text, shop_key,
+                      [&](wire::forwarded_reply&& r) { cancelled = r.status; });
+    std::optional<int> submitted;
+    leader.begin_call("POST", "/orders/" + job_text, shop_key,
+                      [&](wire::forwarded_reply&& r) { submitted = r.status; });
+    leader.run_until([&] { return submitted && cancelled; });
+    CHECK(*cancelled == gone);
+    CHECK(*submitted == gone);
+    CHECK(leader.log.state().jobs.empty());
+}
+
+// Guards against an account whose cancels make the leader forget what it has answered to others.
+TEST_CASE("caller api: a flood of cancels of unknown ids does not bring a refused job back")
+{
+    leader_of_one leader;
+    CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == gone);
+    CHECK(leader.status_of("DELETE", "/open/" + job_text) == gone);
+    std::size_t confirmed = 0;
+    std::size_t refused = 0;
+    for (std::uint64_t i = 1; i <= 30'000; ++i) {
+        leader.begin_call("DELETE", "/orders/" + jobs::job_id{i}.text(), bank_key,
+                          [&](wire::forwarded_reply&& r) {
+                              confirmed += r.status == gone ? 1 : 0;
+                              refused += r.status == service_unavailable ? 1 : 0;
+                              CHECK((r.status == gone || r.retry_after_ms > 0));
+                          });
+        if (i % 1000 == 0) {
+            leader.run_until([&] { return confirmed + refused == i; });
+        }
+    }
+    CHECK(confirmed >= 12'000);
+    CHECK(refused > 0);
+    CHECK(leader.log.state().refused.size() <= jobs::refused_jobs::max_ids);
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == gone);
+    CHECK(leader.status_of("POST", "/open/" + job_text) == gone);
+    CHECK(leader.status_of("POST", "/orders/" + jobs::job_id{1}.text(), bank_key) == gone);
+    // The others' cancels are still confirmed.
+    CHECK(leader.status_of("DELETE", "/orders/1123456789abcdef", shop_key) == gone);
+    CHECK(leader.status_of("POST", "/orders/1123456789abcdef", shop_key) == gone);
+}
+
+TEST_CASE("caller api: refused ids are not written to the log while a scheduler can't read them")
+{
+    leader_of_one leader;
+    leader.context.log_accepts_refusals = false;
+    CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == gone);
+    CHECK(leader.log.state().refused.empty());
+    CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == gone);
+}
+
+TEST_CASE("caller api: refused ids are kept for a minute, and dropped after two")
 {
-    cancelled_ids ids;
-    const team_id account{"a"};
-    const mono_time start{100s};
-    ids.record(account, jobs::job_id{1}, start);
-    CHECK(ids.contains(account, jobs::job_id{1}, start + 59s));
-    CHECK_FALSE(ids.contains(account, jobs::job_id{1}, start + 60s));
-    for (std::uint64_t i = 1; i <= 10'001; ++i) {
-        ids.record(account, jobs::job_id{i}, start + 60s);
+    for (const bool in_log : {true, false}) {
+        leader_of_one leader{manual_clock{mono_time{1h}}};
+        leader.callers->on_leadership_gained();
+        leader.context.log_accepts_refusals = in_log;
+        CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == gone);
+        const auto is_refused_after = [&](milliseconds duration) {
+            for (milliseconds passed{0}; passed < duration; passed += 1s) {
+                leader.callers->drop_old_refusals();
+                leader.loop.advance(1s);
+            }
+            return leader.status_of("POST", "/orders/" + job_text, shop_key) == gone;
+        };
+        CHECK(is_refused_after(59s));
+        CHECK(is_refused_after(2s));
+        CHECK_FALSE(is_refused_after(62s));
     }
-    CHECK_FALSE(ids.contains(account, jobs::job_id{1}, start + 61s));
-    CHECK(ids.contains(account, jobs::job_id{2}, start + 61s));
 }
 
 TEST_CASE("caller api: a call without a key cannot cancel an account's job through an open queue")
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -579,3 +579,64 @@
     CHECK(s.find(t)->phase == task_phase::waiting);
     CHECK(s.find(t)->checkpoint == "c");
 }
+
+TEST_CASE("jobs: a refused id is kept for one to two rotations, for its account only")
+{
+    state s;
+    const team_id account{"a"};
+    const submit_job submission{test_job_id, {}, {}, account, {}, 0};
+    CHECK(apply(s, refuse_job{account, test_job_id}).changed);
+    CHECK_FALSE(apply(s, refuse_job{account, test_job_id}).changed);
+    apply(s, rotate_refused_jobs{1});
+    // A rotation that is applied again has no effect.
+    apply(s, rotate_refused_jobs{1});
+    CHECK(apply(s, submission).refused);
+    CHECK(s.jobs.empty());
+    apply(s, rotate_refused_jobs{2});
+    CHECK(s.refused.empty());
+    CHECK(apply(s, submission).changed);
+    // An accepted job is not refused later, but another account's cancel is recorded.
+    CHECK(apply(s, refuse_job{account, test_job_id}).refused);
+    CHECK(apply(s, refuse_job{team_id{"b"}, test_job_id}).changed);
+}
+
+TEST_CASE("jobs: accounts that fill the refused ids leave room to others, and nothing is dropped")
+{
+    refused_jobs refused;
+    const auto fill = [&](const team_id& account) {
+        std::uint64_t ids = 0;
+        while (refused.has_room(account)) {
+            refused.add(account, job_id{++ids});
+        }
+        return ids;
+    };
+    const std::uint64_t first = fill(team_id{"a"});
+    CHECK(first == refused_jobs::max_ids / 2);
+    CHECK(fill(team_id{"b"}) == refused_jobs::max_ids / 4);
+    refused.rotate(1);
+    CHECK_FALSE(refused.has_room(team_id{"a"}));
+    CHECK(refused.has_room(team_id{"c"}));
+    CHECK(refused.contains(team_id{"a"}, job_id{1}));
+    CHECK(refused.contains(team_id{"a"}, job_id{first}));
+    refused.rotate(2);
+    CHECK(refused.has_room(team_id{"a"}));
+    CHECK(refused.size() == 0);
+}
+
+TEST_CASE("jobs: refused ids are kept in a snapshot, which omits them if there are none")
+{
+    state s = state_with_job({make_step(1)});
+    const std::string before = machine::encode_state(s);
+    apply(s, refuse_job{team_id{"a"}, job_id{5}});
+    apply(s, rotate_refused_jobs{1});
+    apply(s, refuse_job{team_id{"a"}, job_id{6}});
+    const auto decoded = machine::decode_state(machine::encode_state(s));
+    REQUIRE(ok(decoded));
+    state restored = value(decoded);
+    CHECK(restored.refused.size() == 2);
+    CHECK(restored.refused.contains(team_id{"a"}, job_id{5}));
+    CHECK(machine::encode_state(restored) == machine::encode_state(s));
+    apply(restored, rotate_refused_jobs{2});
+    apply(restored, rotate_refused_jobs{3});
+    CHECK(machine::encode_state(restored) == before);
+}
