A call counts from the earliest time at which it may have arrived

What callers saw: an entry that had been stopped passed on a submission whose caller had given up and cancelled it elsewhere, if the caller kept the connection open. It counted the caller's timeout from the moment at which it read the call.

Cause: after a standstill everything that is read first may be as old as the standstill, whatever its connection looks like, and nothing bounded that.

Change: the event loop tells when the previous iteration looked for events; what an iteration reads arrived later. The HTTP server gives each request that time as the earliest of its arrival; for connections that waited to be accepted, also when they are accepted some iterations later. A call that waited for a leader is not sent after its timeout either.

Why it works: the time is taken from the one clock of the receiver, and is an upper bound of the age that the call can have there.

Unit cases of http_test, event_loop_test, entry_test (two) and operator_orders_test.

--- a/include/fescuestream/base/loop.h
+++ b/include/fescuestream/base/loop.h
@@ -94,6 +94,12 @@
     /** @return total time spent in iterations, without the waits for events. Stays 0 with a manual
      * clock. */
     mono_clock::duration busy_time() const noexcept;
+    /**
+     * @return the earliest time at which the events that this iteration handles may have occurred:
+     * when the previous iteration looked for events. It is long ago after an iteration that took
+     * long, and after the process was stopped.
+     */
+    mono_time events_since() const noexcept;
     /** Invokes the callback once, at the end of the current loop iteration. */
     void defer(std::function<void()> callback);
     /** Invokes the callback when the process receives the signal. */
--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -34,6 +34,9 @@
     std::optional<std::string> timeout_ms;
     std::string content_type;
     std::string host;
+    /** Earliest time at which the request may have arrived. It was read later, in particular if the
+     * process was stopped. */
+    mono_time arrived_after{};
     /** Values of the headers named in server::capture_headers(), in the same order. */
     std::vector<std::optional<std::string>> captured_headers;
 
--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -98,6 +98,7 @@
     std::vector<std::function<void()>> deferred_calls;
     std::vector<std::unique_ptr<signal_watcher>> signal_watchers;
     mono_time iteration_began_at{mono_clock::now()};
+    mono_time previous_iteration_began_at{iteration_began_at};
     milliseconds slow_iteration_threshold{0};
     std::function<void(milliseconds)> slow_iteration_call;
     mono_clock::duration busy_time{};
@@ -106,7 +107,9 @@
 
     static void on_check(struct ev_loop* /*loop*/, ev_check* watcher, int /*events*/)
     {
-        static_cast<impl*>(watcher->data)->iteration_began_at = mono_clock::now();
+        auto& self = *static_cast<impl*>(watcher->data);
+        self.previous_iteration_began_at = self.iteration_began_at;
+        self.iteration_began_at = mono_clock::now();
     }
     void record_duration()
     {
@@ -262,6 +265,11 @@
     return impl_->busy_time;
 }
 
+mono_time event_loop::events_since() const noexcept
+{
+    return manual_now_ ? *manual_now_ : impl_->previous_iteration_began_at;
+}
+
 void event_loop::defer(std::function<void()> callback)
 {
     impl_->deferred_calls.push_back(std::move(callback));
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -192,21 +192,25 @@
         open_call c;
         c.exchange = id;
         c.received_at = loop.now();
+        // The caller's timeout began when it sent the call.
         const milliseconds timeout = parse_caller_timeout(in.captured_headers.at(1));
         c.deadline =
-            c.received_at + milliseconds{static_cast<milliseconds::rep>(
-                                static_cast<double>(timeout.count()) * caller_timeout_share)};
+            in.arrived_after + milliseconds{static_cast<milliseconds::rep>(
+                                   static_cast<double>(timeout.count()) * caller_timeout_share)};
         c.call.call_id = next_call_number++;
         c.call.method = std::move(in.method);
         c.call.host = std::move(in.host);
         c.call.path = std::move(in.path);
         c.call.key = in.captured_headers.at(0).value_or("");
         c.call.body = std::move(in.body);
+        if (c.received_at >= c.deadline) {
+            const auto age =
+                std::chrono::duration_cast<milliseconds>(loop.now() - in.arrived_after);
+            abandon(c, "timed_out", age);
+            return;
+        }
         if (c.call.method == "POST" && !caller_server->is_client_waiting(id)) {
-            // The caller may have cancelled the job at another entry since.
-            counters.count("calls_abandoned");
-            log::info("call_abandoned", {{"method", c.call.method}, {"path", c.call.path}});
-            respond_with_error(c);
+            abandon(c, "caller_gone", milliseconds{0});
             return;
         }
         const auto number = c.call.call_id;
@@ -219,10 +223,22 @@
         forward(stored);
     }
 
+    /** Answers a call that was not sent and whose caller has given up: it may have cancelled the
+     * job at another entry since. */
+    void abandon(const open_call& c, const char* why, milliseconds age)
+    {
+        counters.count("calls_abandoned");
+        log::info("call_abandoned", {{"method", c.call.method},
+                                     {"path", c.call.path},
+                                     {"why", why},
+                                     {"age_ms", age.count()}});
+        respond_with_error(c);
+    }
+
     void forward(open_call& c)
     {
         const instance_id& leader = peers->leader().id;
-        if (c.sent_to == leader || leader.empty()) {
+        if (c.sent_to == leader || leader.empty() || loop.now() >= c.deadline) {
             return;
         }
         if (peers->send(leader, c.call)) {
--- a/src/fleet/received_orders.cpp
+++ b/src/fleet/received_orders.cpp
@@ -20,9 +20,9 @@
 } // namespace
 
 void received_orders::receive(http::exchange_id exchange, wire::forwarded_call&& call,
-                              const instance_id& leader, mono_time now)
+                              const instance_id& leader, mono_time arrived_after, mono_time now)
 {
-    order o{exchange, std::move(call), leader, now, std::nullopt, {}};
+    order o{exchange, std::move(call), leader, arrived_after, now, std::nullopt, {}};
     const std::uint64_t number = o.call.call_id;
     if (!leader.empty() && !route_.send(leader, wire::order_stamp_request{number})) {
         refuse(o, "leader_not_connected");
@@ -71,8 +71,9 @@
 
 bool received_orders::advance(order& o, mono_time now)
 {
-    if (now - o.received_at >= max_order_age) {
-        log::info("control_call_timed_out", {{"number", o.call.call_id}});
+    if (now - o.arrived_after >= max_order_age) {
+        log::info("control_call_timed_out",
+                  {{"number", o.call.call_id}, {"age_ms", ms_between(o.arrived_after, now)}});
         route_.answer(o.exchange, {});
         return true;
     }
@@ -91,7 +92,7 @@
         }
         return true;
     }
-    const wire::forwarded_order m{o.call, *o.stamp, ms_between(o.received_at, o.stamped_at)};
+    const wire::forwarded_order m{o.call, *o.stamp, ms_between(o.arrived_after, o.stamped_at)};
     if (!route_.send(o.leader, m)) {
         refuse(o, "leader_not_connected");
         return true;
--- a/src/fleet/received_orders.h
+++ b/src/fleet/received_orders.h
@@ -34,9 +34,12 @@
 public:
     explicit received_orders(order_route route) : route_{std::move(route)} {}
 
-    /** @param leader where the order is carried out; empty: at this instance. */
+    /**
+     * @param leader where the order is carried out; empty: at this instance.
+     * @param arrived_after earliest time at which the order may have arrived.
+     */
     void receive(http::exchange_id exchange, wire::forwarded_call&& call, const instance_id& leader,
-                 mono_time now);
+                 mono_time arrived_after, mono_time now);
     /** Handles the stamp that a forwarded order needs, or needs anew. */
     void handle(const instance_id& from, const wire::order_stamp& stamp, mono_time now);
     /** Handles the answer to a forwarded order. @return whether it is one. */
@@ -52,6 +55,7 @@
         http::exchange_id exchange{0};
         wire::forwarded_call call;
         instance_id leader;
+        mono_time arrived_after{};
         mono_time received_at{};
         /** Present while the order waits to be forwarded with it. */
         std::optional<wire::order_stamp> stamp;
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -571,7 +571,8 @@
             return;
         }
         if (wire.is_unversioned_order(call.method, call.path)) {
-            orders.receive(exchange, std::move(call), serves ? instance_id{} : leader, loop.now());
+            orders.receive(exchange, std::move(call), serves ? instance_id{} : leader,
+                           in.arrived_after, loop.now());
             return;
         }
         if (serves) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -26,6 +27,10 @@
 constexpr milliseconds daemon_poll_period{250};
 /** A request that was sent before the listening socket closed arrives within this time. */
 constexpr milliseconds drain_quiet_time{100};
+/** The loop did not look for events for this long: what has arrived meanwhile may be that old. */
+constexpr milliseconds min_standstill{250};
+/** Connections that the kernel holds at most until they are accepted. */
+constexpr std::size_t max_unaccepted_connections = 4096;
 /** Connections are closed while less than this part of them is left, so that new callers find one.
  */
 constexpr std::size_t spare_connections_divisor = 16;
@@ -44,6 +49,9 @@
 struct open_connection {
     connection_id id{0};
     int socket{-1};
+    /** Since when the connection and its first request may have been waiting to be accepted, if
+     * that was during a standstill. */
+    std::optional<mono_time> waiting_since;
 };
 
 response make_too_large(int status)
@@ -89,6 +97,10 @@
     mono_time last_activity{};
     bool accepting{true};
     bool run_pending{false};
+    /** Since when the connections that wait to be accepted may have been waiting, after a
+     * standstill; the library accepts a few at a time. */
+    std::optional<mono_time> backlog_since;
+    std::size_t accepted_from_backlog{0};
     bool close_connections{false};
     const std::shared_ptr<bool> exists{std::make_shared<bool>(true)};
     std::vector<std::string> kept_header_names;
@@ -98,7 +110,9 @@
     void run_daemon()
     {
         run_pending = false;
+        begin_backlog();
         MHD_run(daemon);
+        end_backlog();
         // MHD_run() reads a bounded number of bytes per call, and no event is raised for the bytes
         // that it leaves unread.
         MHD_UNSIGNED_LONG_LONG wait_ms = 0;
@@ -110,12 +124,37 @@
         }
     }
 
+    void begin_backlog()
+    {
+        const mono_time since = loop.events_since();
+        if (!backlog_since && loop.now() - since >= min_standstill) {
+            backlog_since = since;
+            accepted_from_backlog = 0;
+        }
+    }
+
+    void end_backlog()
+    {
+        if (!backlog_since) {
+            return;
+        }
+        const auto* info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD);
+        pollfd unaccepted{info->listen_fd, POLLIN, 0};
+        if (!accepting || poll(&unaccepted, 1, 0) <= 0 ||
+            accepted_from_backlog >= max_unaccepted_connections) {
+            backlog_since.reset();
+        }
+    }
+
     MHD_Result begin_exchange(MHD_Connection* connection, const char* url, const char* method,
                               void** context)
     {
         auto created = read_head(connection, next_id++, method, url, kept_header_names, loop.now());
         exchange& ex = *created.release();
         *context = &ex;
+        const auto waiting_since = std::exchange(connection_of(connection).waiting_since, {});
+        ex.incoming.arrived_after =
+            waiting_since.value_or(backlog_since.value_or(loop.events_since()));
         waiting.end(connection_of(connection).id);
         ++unfinished_exchanges;
         held.begin(ex.id, loop.now());
@@ -344,9 +383,11 @@
             return;
         }
         const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        ++accepted_from_backlog;
         auto created = std::make_unique<open_connection>();
         created->id = next_connection++;
         created->socket = info->connect_fd;
+        created->waiting_since = backlog_since;
         *context = created.get();
         const connection_id id = created->id;
         connections.emplace(id, std::move(created));
--- a/tests/e2e/test_late_submissions.py
+++ b/tests/e2e/test_late_submissions.py
@@ -48,6 +48,15 @@
         self.assertEqual(runs, [])
         self.assertEqual(request(OTHER_ENTRY, CALLER_PORT, "GET", f"/queue/{JOB}"), 410)
 
+    def test_entry_stopped_for_longer_than_the_callers_timeout(self):
+        self.processes[ENTRY].send_signal(signal.SIGSTOP)
+        connection = self.submit_and_keep_open(3000)
+        time.sleep(3.0)
+        self.assertEqual(self.cancel(), 410)
+        self.processes[ENTRY].send_signal(signal.SIGCONT)
+        self.assertTrue(connection.recv(4096).startswith(b"HTTP/1.1 503 "))
+        self.check_never_runs()
+
     def test_leader_killed_after_the_cancel(self):
         self.processes[ENTRY].send_signal(signal.SIGSTOP)
         self.submit_and_keep_open(60000)
--- a/tests/e2e/test_operator_orders.py
+++ b/tests/e2e/test_operator_orders.py
@@ -2,6 +2,7 @@
 order that was confirmed meanwhile."""
 
 import signal
+import socket
 import time
 import unittest
 
@@ -76,6 +77,19 @@
         self.processes[self.follower].send_signal(signal.SIGCONT)
         self.check_out_of_service(confirmed)
 
+    def test_order_read_after_a_stop_from_an_open_connection(self):
+        """The same, but the sender keeps the connection open when it goes to another scheduler."""
+        self.confirm("POST")
+        self.processes[self.follower].send_signal(signal.SIGSTOP)
+        with socket.create_connection((self.follower, CONTROL_PORT)) as s:
+            s.sendall(b"DELETE /drain/west HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            time.sleep(1.0)
+            self.confirm("DELETE")
+            self.confirm("POST")
+            confirmed = time.monotonic()
+            self.processes[self.follower].send_signal(signal.SIGCONT)
+            self.check_out_of_service(confirmed)
+
     def test_order_is_carried_out_when_sent_again_unchanged(self):
         """What stops a late copy must not stop the same order that its sender sends again at once, at any scheduler."""
         self.network.cut(self.follower)
--- a/tests/unit/entry_test.cpp
+++ b/tests/unit/entry_test.cpp
@@ -9,7 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <optional>
+#include <string>
 
 using namespace fescue;
 using namespace fescue::fleet;
@@ -151,6 +154,21 @@
         REQUIRE(condition());
     }
 
+    void run_for(milliseconds duration)
+    {
+        const mono_time end = loop.now() + duration;
+        run_until([&] { return loop.now() >= end; });
+    }
+
+    /** Runs everything but the entry. */
+    void stop_entry_for(milliseconds duration)
+    {
+        const mono_time end = loop.now() + duration;
+        while (loop.now() < end) {
+            run_briefly(loop);
+        }
+    }
+
     event_loop loop;
     http::client client{loop};
     fake_scheduler first{loop, first_address};
@@ -234,24 +252,93 @@
     }
 }
 
+/** A caller whose connection the test controls. */
+class raw_caller {
+public:
+    raw_caller()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(caller_port);
+        inet_pton(AF_INET, entry_address.c_str(), &address.sin_addr);
+        REQUIRE(connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    }
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+    ~raw_caller() { close(fd_); }
+
+    void post(const std::string& headers = "") const
+    {
+        const std::string request =
+            "POST /q/1 HTTP/1.1\r\nHost: h\r\n" + headers + "Content-Length: 0\r\n\r\n";
+        REQUIRE(send(fd_, request.data(), request.size(), 0) == std::ssize(request));
+    }
+    void close_sending_side() const { shutdown(fd_, SHUT_WR); }
+    /** @return what the entry has sent since the last call. */
+    std::string read() const
+    {
+        std::array<char, 1024> buffer{};
+        const ssize_t size = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
+    }
+
+private:
+    int fd_{socket(AF_INET, SOCK_STREAM, 0)};
+};
+
 // Guards against a submission that a stopped entry reads after its caller has cancelled it.
 TEST_CASE("entry: a submission whose caller has closed the connection is not passed on")
 {
     entry_fixture f;
-    const int caller = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(caller_port);
-    inet_pton(AF_INET, entry_address.c_str(), &address.sin_addr);
-    REQUIRE(connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-    const std::string request = "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
-    REQUIRE(send(caller, request.data(), request.size(), 0) ==
-            static_cast<ssize_t>(request.size()));
-    close(caller);
+    std::optional<raw_caller> caller{std::in_place};
+    caller->post();
+    caller.reset();
     const auto later = f.post();
     f.run_until([&] { return !f.first.calls.empty(); });
     f.first.reply(f.first.calls.front().call_id, ok_status);
     f.run_until([&] { return *later != 0; });
     CHECK(*later == ok_status);
+    CHECK(f.first.calls.size() == 1); // Longer than it takes to find out whether a caller that
+                                      // sends nothing more still waits.
+    f.run_for(1000ms);
     CHECK(f.first.calls.size() == 1);
 }
+
+// Guards against a submission that a stopped entry reads after its caller has cancelled it, while
+// the connection is still open.
+TEST_CASE("entry: a call that may have timed out before it was read is not passed on")
+{
+    entry_fixture f;
+    f.run_for(100ms);
+    const raw_caller caller;
+    caller.post("Deadline-Ms: 1000\r\n");
+    f.stop_entry_for(1000ms);
+    std::string received;
+    f.run_until([&] {
+        received += caller.read();
+        return !received.empty();
+    });
+    CHECK(received.starts_with("HTTP/1.1 503 "));
+    f.run_for(100ms);
+    CHECK(f.first.calls.empty());
+    const auto later = f.post();
+    f.run_until([&] { return !f.first.calls.empty(); });
+    f.first.reply(f.first.calls.front().call_id, ok_status);
+    f.run_until([&] { return *later != 0; });
+    CHECK(*later == ok_status);
+}
+
+TEST_CASE("entry: a call that waited for a leader is not passed on after a standstill")
+{
+    entry_fixture f;
+    f.change_leader("");
+    f.run_for(700ms);
+    const raw_caller caller;
+    caller.post("Deadline-Ms: 1000\r\n");
+    f.run_for(100ms);
+    f.change_leader(first_address);
+    f.stop_entry_for(1000ms);
+    f.run_for(500ms);
+    CHECK(f.first.calls.empty());
+    CHECK(caller.read().starts_with("HTTP/1.1 503 "));
+}
--- a/tests/unit/event_loop_test.cpp
+++ b/tests/unit/event_loop_test.cpp
@@ -52,3 +52,18 @@
     const decltype(calls) expected{{'r', 20ms}, {'a', 30ms}, {'d', 30ms}, {'r', 40ms}};
     CHECK(calls == expected);
 }
+
+TEST_CASE("event loop: what arrives during a long iteration may date from its beginning")
+{
+    event_loop loop;
+    mono_time before;
+    const auto regular = loop.every(10ms, [] {});
+    const auto block = loop.after(100ms, [&] {
+        before = loop.now();
+        std::this_thread::sleep_for(300ms);
+    });
+    const auto next = loop.after(101ms, [&] { loop.stop(); });
+    loop.run();
+    CHECK(loop.events_since() <= before);
+    CHECK(loop.events_since() > before - 100ms);
+}
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <thread>
 
 using namespace fescue;
 using namespace fescue::http;
@@ -141,6 +142,13 @@
         return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
     }
 
+    void close_sending_side() const { shutdown(fd_, SHUT_WR); }
+    bool is_at_end() const
+    {
+        char next = 0;
+        return recv(fd_, &next, sizeof next, MSG_DONTWAIT) == 0;
+    }
+
 private:
     int fd_;
 };
@@ -342,6 +350,35 @@
     CHECK(second.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a call that counts as new although it was read after a standstill.
+TEST_CASE("http server: requests that are read after a standstill may be as old as that")
+{
+    event_loop loop;
+    std::vector<mono_time> arrivals;
+    server port{loop, [&](exchange_id, request&& in) { arrivals.push_back(in.arrived_after); }};
+    REQUIRE_FALSE(port.listen(holding_server::address, {}));
+    run_for(loop, milliseconds{50});
+    const raw_connection open{holding_server::address};
+    run_for(loop, milliseconds{50});
+    const mono_time stopped_at = loop.now();
+    // More than the library accepts at a time.
+    std::vector<std::unique_ptr<raw_connection>> waiting;
+    for (int i = 0; i < 60; ++i) {
+        waiting.push_back(std::make_unique<raw_connection>(holding_server::address));
+        waiting.back()->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    open.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds{600});
+    run_for(loop, milliseconds{300});
+    REQUIRE(arrivals.size() == 61);
+    CHECK(std::ranges::all_of(arrivals, [&](mono_time at) { return at <= stopped_at; }));
+    const raw_connection later{holding_server::address};
+    later.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_for(loop, milliseconds{50});
+    REQUIRE(arrivals.size() == 62);
+    CHECK(loop.now() - arrivals.back() < milliseconds{250});
+}
+
 TEST_CASE("parse_endpoint accepts only IP:PORT")
 {
     CHECK(ok(parse_endpoint("127.0.0.1:80")));
--- a/tests/unit/operator_orders_test.cpp
+++ b/tests/unit/operator_orders_test.cpp
@@ -40,7 +40,9 @@
     std::vector<int> answers;
     int carried_out{0};
     received_orders orders{
-        {[this](http::exchange_id) { return sender_waits; },
+        {[this](http::exchange_id) {
+             return sender_waits;
+         },
          [this](http::exchange_id, const wire::forwarded_reply& r) { answers.push_back(r.status); },
          [this](const instance_id&, const wire::message& m) {
              sent.push_back(m);
@@ -51,11 +53,11 @@
              return leads;
          }}};
 
-    void receive(const instance_id& leader)
+    void receive(const instance_id& leader, mono_time arrived_after = start)
     {
         wire::forwarded_call call;
         call.call_id = call_number;
-        orders.receive(exchange, std::move(call), leader, start);
+        orders.receive(exchange, std::move(call), leader, arrived_after, start);
     }
     std::size_t count_forwarded() const
     {
@@ -131,6 +133,27 @@
     }
 }
 
+// Guards against an order that a stopped scheduler reads after a later one was confirmed, while its
+// connection is still open.
+TEST_CASE("received orders: an order that may have arrived long ago is not carried out")
+{
+    for (const bool leads : {false, true}) {
+        receiving_scheduler scheduler;
+        scheduler.leads = leads;
+        scheduler.receive(leads ? instance_id{} : leader_id, start - max_order_age);
+        scheduler.orders.handle(leader_id, {call_number, term, 0, 0}, start + 2ms);
+        scheduler.orders.tick(start + 60ms);
+        CHECK(scheduler.count_forwarded() + static_cast<std::size_t>(scheduler.carried_out) == 0);
+        CHECK(scheduler.answers == std::vector<int>{0});
+    }
+    receiving_scheduler scheduler;
+    scheduler.receive(leader_id, start - 200ms);
+    scheduler.orders.handle(leader_id, {call_number, term, 0, 0}, start + 2ms);
+    scheduler.orders.tick(start + 60ms);
+    REQUIRE(scheduler.count_forwarded() == 1);
+    CHECK(std::get<wire::forwarded_order>(scheduler.sent.back()).age_at_stamp_ms == 202);
+}
+
 TEST_CASE("received orders: an order whose stamp was refused is sent again while its sender waits")
 {
     receiving_scheduler scheduler;
