A sender that closes its sending side and waits gets its answer

What callers saw: a submission, or an operator's order, over a connection whose sending side is closed once the request is written got 503 every time, without any fault. Some HTTP/1.0 clients and tools work like that.

Change: what tells them apart is that a closed connection answers the next bytes with a reset. The server sends the beginning of the status line, which is the same for every response, byte by byte at intervals of 75 ms, and the rest once the response is known; so each client gets one valid response. A relay that passes on both directions by itself notices with the second byte that its client has gone, and resets its own connection at the third, so five bytes are sent. The sender counts as waiting if all of them are acknowledged, and is answered some 0.4 s later than others. An open connection gets no probe and no delay.

Three cases of http_test, one each of entry_test and operator_orders_test.

--- a/include/fescuestream/http/server.h
+++ b/include/fescuestream/http/server.h
@@ -44,6 +44,15 @@
     std::optional<std::string> bearer() const;
 };
 
+/** Whether the client of a request waits for the response. */
+enum class client_presence : std::uint8_t {
+    waiting,
+    /** It has closed its sending side; whether it still receives is being found out. */
+    unknown,
+    /** It has closed or reset the connection. */
+    gone,
+};
+
 struct header {
     std::string name;
     std::string value;
@@ -72,6 +81,9 @@
 /** Parses "IP:PORT". */
 result<endpoint> parse_endpoint(const std::string& text);
 
+/** Time between two checks of a client whose presence is unknown. */
+inline constexpr milliseconds client_check_period{75};
+
 class server {
 public:
     /** Invoked with each complete request; respond() sends the response, now or later. */
@@ -99,10 +111,12 @@
     /** Sends the response of an exchange; ignored if the exchange has already ended. */
     void respond(exchange_id id, response&& reply);
     /**
-     * @return whether the client of an exchange without a response still waits for it: it has
-     * neither closed nor reset its connection, nor closed its sending side.
+     * Checks whether the client of an exchange without a response still waits for it. If the client
+     * has closed its sending side, sends the beginning of the status line byte by byte: a client
+     * that has closed the connection answers with a reset. Call it again every
+     * client_check_period while the result is unknown.
      */
-    bool is_client_waiting(exchange_id id) const;
+    client_presence check_client(exchange_id id);
     /** @return the number of exchanges without a response. */
     std::size_t open_exchanges() const noexcept;
     /** @return the number of exchanges that have begun and whose response is not yet written. */
--- a/src/fleet/entry_instance.cpp
+++ b/src/fleet/entry_instance.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <map>
 
 namespace fescue::fleet {
@@ -84,6 +85,8 @@
         wire::forwarded_call call;
         mono_time received_at{};
         mono_time deadline{};
+        /** The caller may have gone; the call is not sent before it is known to wait. */
+        bool is_caller_unknown{false};
         /** Leader that it was sent to; empty: never sent, not processed, or connection lost. */
         instance_id sent_to;
         /** Number of times that it was sent without a reply: a leader may have acted on it. */
@@ -209,8 +212,7 @@
             abandon(c, "timed_out", age);
             return;
         }
-        if (c.call.method == "POST" && !caller_server->is_client_waiting(id)) {
-            abandon(c, "caller_gone", milliseconds{0});
+        if (c.call.method == "POST" && !check_caller(c)) {
             return;
         }
         const auto number = c.call.call_id;
@@ -235,10 +237,32 @@
         respond_with_error(c);
     }
 
+    /** @return false if the caller has gone; the call has been answered then. */
+    bool check_caller(open_call& c)
+    {
+        const http::client_presence presence = caller_server->check_client(c.exchange);
+        c.is_caller_unknown = presence == http::client_presence::unknown;
+        if (presence == http::client_presence::gone) {
+            const auto age = std::chrono::duration_cast<milliseconds>(loop.now() - c.received_at);
+            abandon(c, "caller_gone", age);
+            return false;
+        }
+        return true;
+    }
+
+    void check_callers()
+    {
+        for (auto at = open_calls.begin(); at != open_calls.end();) {
+            const bool is_gone = at->second.is_caller_unknown && !check_caller(at->second);
+            at = is_gone ? open_calls.erase(at) : std::next(at);
+        }
+    }
+
     void forward(open_call& c)
     {
         const instance_id& leader = peers->leader().id;
-        if (c.sent_to == leader || leader.empty() || loop.now() >= c.deadline) {
+        if (c.sent_to == leader || leader.empty() || c.is_caller_unknown ||
+            loop.now() >= c.deadline) {
             return;
         }
         if (peers->send(leader, c.call)) {
@@ -312,6 +336,7 @@
 
     void housekeep()
     {
+        check_callers();
         forward_unsent();
         const mono_time now = loop.now();
         std::erase_if(open_calls, [&](const auto& entry) {
--- a/src/fleet/received_orders.cpp
+++ b/src/fleet/received_orders.cpp
@@ -82,10 +82,14 @@
     }
     // After the stamp: an order that its sender gave up before the stamp was issued ends here, and
     // the leader refuses the stamp if it has accepted a later order since.
-    if (!route_.is_sender_waiting(o.exchange)) {
+    const http::client_presence sender = route_.check_sender(o.exchange);
+    if (sender == http::client_presence::gone) {
         refuse(o, "sender_gone");
         return true;
     }
+    if (sender == http::client_presence::unknown) {
+        return false;
+    }
     if (o.leader.empty()) {
         if (!route_.carry_out_here(o.call, o.exchange)) {
             refuse(o, "not_leader");
--- a/src/fleet/received_orders.h
+++ b/src/fleet/received_orders.h
@@ -20,8 +20,9 @@
 
 /** What received_orders needs of its scheduler. */
 struct order_route {
-    /** @return whether the sender of the request still waits for its answer. */
-    std::function<bool(http::exchange_id)> is_sender_waiting;
+    /** @return whether the sender of the request still waits for its answer; asked again while that
+     * is unknown. */
+    std::function<http::client_presence(http::exchange_id)> check_sender;
     /** Answers the sender; a reply with status 0 tells it that there is no leader. */
     std::function<void(http::exchange_id, const wire::forwarded_reply&)> answer;
     /** Sends to an instance. @return whether it is connected. */
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -98,7 +98,7 @@
     std::map<std::uint64_t, forwarded_request> pending_forwards;
     order_fence accepted_orders;
     received_orders orders{
-        {[this](http::exchange_id exchange) { return control_server->is_client_waiting(exchange); },
+        {[this](http::exchange_id exchange) { return control_server->check_client(exchange); },
          [this](http::exchange_id exchange, const wire::forwarded_reply& r) {
              control_server->respond(exchange, to_http(r));
          },
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -23,6 +23,10 @@
     bool library_reads_body{false};
     /** The request or its response was dropped; its connection is being closed. */
     bool dropped{false};
+    /** Bytes of the status line that were sent before the response is known, and when the last of
+     * them was sent. */
+    std::size_t probe_bytes{0};
+    mono_time probed_at{};
     /** Length that the request announces for its body; 0: none. */
     std::size_t announced_bytes{0};
     /** Part of the body that was received after the request had been rejected. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,7 @@
 #include "socket_info.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -18,6 +19,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 
 namespace fescue::http {
@@ -27,6 +29,11 @@
 constexpr milliseconds daemon_poll_period{250};
 /** A request that was sent before the listening socket closed arrives within this time. */
 constexpr milliseconds drain_quiet_time{100};
+/** The beginning of every response. Its bytes show whether a client that sends nothing more still
+ * receives: each relay that passes on both directions separately notices with the second byte that
+ * its client has gone, and resets its own connection at the third. */
+constexpr std::string_view probe = "HTTP/1.1 ";
+constexpr std::size_t min_probe_bytes = 5;
 /** The loop did not look for events for this long: what has arrived meanwhile may be that old. */
 constexpr milliseconds min_standstill{250};
 /** Connections that the kernel holds at most until they are accepted. */
@@ -487,6 +494,53 @@
         return MHD_YES;
     }
 
+    client_presence check_client(exchange& ex) const
+    {
+        const int socket = connection_of(ex.connection).socket;
+        const peer_state state = find_peer_state(socket);
+        if (state != peer_state::half_closed) {
+            return state == peer_state::open ? client_presence::waiting : client_presence::gone;
+        }
+        if (!tls.empty()) {
+            // Bytes can't be sent without the library.
+            return client_presence::gone;
+        }
+        const mono_time now = loop.now();
+        if (ex.probe_bytes > 0 && now - ex.probed_at < client_check_period) {
+            return client_presence::unknown;
+        }
+        if (ex.probe_bytes >= min_probe_bytes) {
+            return is_acknowledged(socket) ? client_presence::waiting : client_presence::unknown;
+        }
+        if (!send_all(socket, probe.substr(ex.probe_bytes, 1))) {
+            return client_presence::gone;
+        }
+        ++ex.probe_bytes;
+        ex.probed_at = now;
+        return client_presence::unknown;
+    }
+
+    /** Sends the rest of a response whose first bytes were sent as a probe, and ends the
+     * connection: the client sends no other request. */
+    void complete_probed_response(exchange& ex) const
+    {
+        const response& out = *ex.reply;
+        std::string text =
+            fmt::format("{}{} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n", probe, out.status,
+                        MHD_get_reason_phrase_for(static_cast<unsigned>(out.status)),
+                        out.content_type, out.body.size());
+        for (const header& h : out.headers) {
+            text += fmt::format("{}: {}\r\n", h.name, h.value);
+        }
+        text += "Connection: close\r\n\r\n" + out.body;
+        const int socket = connection_of(ex.connection).socket;
+        if (!send_all(socket, std::string_view{text}.substr(ex.probe_bytes))) {
+            log::info("response_not_sent", {{"request", ex.request_line}, {"why", "client gone"}});
+        }
+        ::shutdown(socket, SHUT_WR);
+        ex.dropped = true;
+    }
+
     static MHD_Result on_access(void* user_data, MHD_Connection* connection, const char* url,
                                 const char* method, const char* /*version*/, const char* data,
                                 std::size_t* size, void** context)
@@ -629,7 +683,11 @@
     exchange& ex = *found->second;
     impl_->open_exchanges.erase(found);
     ex.reply = std::move(reply);
-    impl_->hold_response(ex);
+    if (ex.probe_bytes > 0) {
+        impl_->complete_probed_response(ex);
+    } else {
+        impl_->hold_response(ex);
+    }
     if (ex.suspended) {
         ex.suspended = false;
         MHD_resume_connection(ex.connection);
@@ -669,11 +727,11 @@
     impl_->close_connections = true;
 }
 
-bool server::is_client_waiting(exchange_id id) const
+client_presence server::check_client(exchange_id id)
 {
     const auto found = impl_->open_exchanges.find(id);
-    return found != impl_->open_exchanges.end() &&
-           !is_closed_by_peer(impl::connection_of(found->second->connection).socket);
+    return found == impl_->open_exchanges.end() ? client_presence::gone
+                                                : impl_->check_client(*found->second);
 }
 
 std::size_t server::open_exchanges() const noexcept
--- a/tests/e2e/scheduler_group.py
+++ b/tests/e2e/scheduler_group.py
@@ -253,3 +253,24 @@
         """Sends an order and closes the connection without reading the answer."""
         with socket.create_connection((at, CONTROL_PORT)) as s:
             s.sendall(f"{method} /drain/west HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+
+
+def read_response(connection):
+    """Returns the status of the response that the connection ends with, or None."""
+    data = b""
+    try:
+        while received := connection.recv(65536):
+            data += received
+    except OSError:
+        pass
+    head, _, _ = data.partition(b"\r\n")
+    return int(head.split()[1]) if head.startswith(b"HTTP/1.1 ") else None
+
+
+def send_and_half_close(address, port, method, path, body="", version="HTTP/1.1", timeout=4.0):
+    """Sends a request, closes the sending side, and returns the status of the response."""
+    with socket.create_connection((address, port), timeout=timeout) as s:
+        s.sendall(f"{method} {path} {version}\r\nHost: {ROUTE['host']}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+                  .encode())
+        s.shutdown(socket.SHUT_WR)
+        return read_response(s)
--- a/tests/e2e/test_late_submissions.py
+++ b/tests/e2e/test_late_submissions.py
@@ -9,7 +9,7 @@
 import unittest
 
 from fleet import wait_for
-from scheduler_group import (CALLER_PORT, ENTRY, OTHER_ENTRY, ROUTE, SchedulerGroup, request)
+from scheduler_group import (CALLER_PORT, ENTRY, OTHER_ENTRY, ROUTE, SchedulerGroup, request, send_and_half_close)
 
 JOB = "fedcba9876543210"
 BODY = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 100}]})
@@ -76,5 +76,10 @@
         self.processes[ENTRY].send_signal(signal.SIGCONT)
         self.check_never_runs()
 
+    def test_caller_that_closes_its_sending_side_is_answered(self):
+        for i, version in enumerate(("HTTP/1.1", "HTTP/1.0")):
+            self.assertEqual(send_and_half_close(ENTRY, CALLER_PORT, "POST", f"/queue/{i:015x}f", BODY, version), 200)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/e2e/test_operator_orders.py
+++ b/tests/e2e/test_operator_orders.py
@@ -3,10 +3,41 @@
 
 import signal
 import socket
+import threading
 import time
 import unittest
 
-from scheduler_group import CONTROL_PORT, CUT_S, SCHEDULERS, SchedulerGroup
+from scheduler_group import CONTROL_PORT, CUT_S, SCHEDULERS, SchedulerGroup, send_and_half_close
+
+
+class HoldingRelay:
+    """Accepts one connection, and passes it on once it is released."""
+
+    def __init__(self, target):
+        self.target, self.released = target, threading.Event()
+        self.listener = socket.create_server(("127.0.0.48", 0))
+        self.address = self.listener.getsockname()
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        client, _ = self.listener.accept()
+        self.listener.close()
+        self.released.wait()
+        server = socket.create_connection(self.target)
+        threading.Thread(target=self.copy, args=(server, client), daemon=True).start()
+        self.copy(client, server)
+
+    @staticmethod
+    def copy(source, sink):
+        try:
+            while data := source.recv(65536):
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def release(self):
+        self.released.set()
 
 
 class OperatorOrders(SchedulerGroup):
@@ -90,6 +121,26 @@
             self.processes[self.follower].send_signal(signal.SIGCONT)
             self.check_out_of_service(confirmed)
 
+    def test_order_of_sender_that_has_gone_behind_a_relay(self):
+        """A relay that passes on each direction by itself delivers the order after its sender has gone."""
+        self.confirm("POST")
+        confirmed = time.monotonic()
+        for at in (self.follower, self.leader):
+            relay = HoldingRelay((at, CONTROL_PORT))
+            with socket.create_connection(relay.address) as s:
+                s.sendall(b"DELETE /drain/west HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            time.sleep(0.5)
+            relay.release()
+        self.check_out_of_service(confirmed)
+
+    def test_sender_that_closes_its_sending_side_is_answered(self):
+        """Nothing is wrong: the sender only has nothing more to say."""
+        for at in (self.follower, self.leader):
+            for version in ("HTTP/1.1", "HTTP/1.0"):
+                for method in ("POST", "DELETE"):
+                    self.assertEqual(
+                        send_and_half_close(at, CONTROL_PORT, method, "/drain/west", version=version), 200)
+
     def test_order_is_carried_out_when_sent_again_unchanged(self):
         """What stops a late copy must not stop the same order that its sender sends again at once, at any scheduler."""
         self.network.cut(self.follower)
--- a/tests/unit/entry_test.cpp
+++ b/tests/unit/entry_test.cpp
@@ -304,6 +304,22 @@
     CHECK(f.first.calls.size() == 1);
 }
 
+TEST_CASE("entry: a caller that sends nothing more but waits gets its answer")
+{
+    entry_fixture f;
+    const raw_caller caller;
+    caller.post();
+    caller.close_sending_side();
+    f.run_until([&] { return !f.first.calls.empty(); });
+    f.first.reply(f.first.calls.front().call_id, ok_status);
+    std::string received;
+    f.run_until([&] {
+        received += caller.read();
+        return received.ends_with("\r\n\r\n");
+    });
+    CHECK(received.starts_with("HTTP/1.1 200 OK\r\n"));
+}
+
 // Guards against a submission that a stopped entry reads after its caller has cancelled it, while
 // the connection is still open.
 TEST_CASE("entry: a call that may have timed out before it was read is not passed on")
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -350,6 +350,65 @@
     CHECK(second.find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("http server: a client that sends nothing more but waits gets a whole response")
+{
+    for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+        CAPTURE(version);
+        event_loop loop;
+        holding_server s{loop};
+        const raw_connection client{holding_server::address};
+        client.write("POST / " + version + "\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+        client.close_sending_side();
+        run_for(loop, milliseconds{50});
+        REQUIRE(s.held.size() == 1);
+        const exchange_id id = s.held.front();
+        const mono_time end = loop.now() + milliseconds{900};
+        while (s.http.check_client(id) == client_presence::unknown && loop.now() < end) {
+            run_for(loop, milliseconds{15});
+        }
+        REQUIRE(s.http.check_client(id) == client_presence::waiting);
+        s.http.respond(id, {200, "application/json", "{}", {{"Retry-After", "1"}}});
+        run_for(loop, milliseconds{50});
+        CHECK(client.read() ==
+              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n"
+              "Retry-After: 1\r\nConnection: close\r\n\r\n{}");
+        CHECK(client.is_at_end());
+    }
+}
+
+// Guards against an order that is carried out after its sender has gone elsewhere.
+TEST_CASE("http server: a client that has closed its connection never counts as waiting")
+{
+    event_loop loop;
+    holding_server s{loop};
+    {
+        const raw_connection client{holding_server::address};
+        client.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    }
+    run_for(loop, milliseconds{50});
+    REQUIRE(s.held.size() == 1);
+    const exchange_id id = s.held.front();
+    client_presence presence = client_presence::unknown;
+    for (int i = 0; i < 40 && presence == client_presence::unknown; ++i) {
+        presence = s.http.check_client(id);
+        run_for(loop, milliseconds{15});
+    }
+    CHECK(presence == client_presence::gone);
+}
+
+TEST_CASE("http server: a client that keeps its connection open waits and gets no probe")
+{
+    event_loop loop;
+    holding_server s{loop};
+    const raw_connection client{holding_server::address};
+    client.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    run_for(loop, milliseconds{50});
+    REQUIRE(s.held.size() == 1);
+    CHECK(s.http.check_client(s.held.front()) == client_presence::waiting);
+    run_for(loop, milliseconds{20});
+    CHECK(client.read().empty());
+}
+
 // Guards against a call that counts as new although it was read after a standstill.
 TEST_CASE("http server: requests that are read after a standstill may be as old as that")
 {
--- a/tests/unit/operator_orders_test.cpp
+++ b/tests/unit/operator_orders_test.cpp
@@ -35,13 +35,17 @@
 /** A scheduler that received one order, with a connection to the leader. */
 struct receiving_scheduler {
     bool sender_waits{true};
+    bool is_sender_unknown{false};
     bool leads{false};
     std::vector<wire::message> sent;
     std::vector<int> answers;
     int carried_out{0};
     received_orders orders{
         {[this](http::exchange_id) {
-             return sender_waits;
+             if (is_sender_unknown) {
+                 return http::client_presence::unknown;
+             }
+             return sender_waits ? http::client_presence::waiting : http::client_presence::gone;
          },
          [this](http::exchange_id, const wire::forwarded_reply& r) { answers.push_back(r.status); },
          [this](const instance_id&, const wire::message& m) {
@@ -154,6 +158,20 @@
     CHECK(std::get<wire::forwarded_order>(scheduler.sent.back()).age_at_stamp_ms == 202);
 }
 
+TEST_CASE("received orders: an order waits until it is known whether its sender has gone")
+{
+    receiving_scheduler scheduler;
+    scheduler.is_sender_unknown = true;
+    scheduler.receive(leader_id);
+    scheduler.orders.handle(leader_id, {call_number, term, 0, 0}, start + 2ms);
+    scheduler.orders.tick(start + 500ms);
+    CHECK(scheduler.count_forwarded() == 0);
+    CHECK(scheduler.answers.empty());
+    scheduler.is_sender_unknown = false;
+    scheduler.orders.tick(start + 515ms);
+    CHECK(scheduler.count_forwarded() == 1);
+}
+
 TEST_CASE("received orders: an order whose stamp was refused is sent again while its sender waits")
 {
     receiving_scheduler scheduler;
