Every start passes one gate at the moment it is sent

Cause: three places decided whether a start may leave, each with a list of its own: exclusion_reason and within_account_cap when a server is chosen, may_send_start when a start is sent again, and a few conditions when a start has been recorded. Starts sent again were not held against the cap, the label, the tasks per server and the steps before them; recorded ones not against evacuations, drains, routes and caps that changed since they were chosen.

Change: src/fleet/start_gate.h, a pure function over the state of the moment, and run_driver::order_start() as its only caller before a start leaves: first starts, starts sent again, inherited ones and those recorded but not sent. The dispatcher uses the same functions. What is withheld is logged with its inputs (start_withheld), goes back to the waiting tasks without a failed attempt once no copy of it can be executed, and is chosen again when there is room. A stop for maintenance that got no answer is sent again only while enough other tasks of its step are at work, and is withdrawn if the maintenance is; a move is dropped if its data centre has been evacuated. A waiting task whose job may fail no more often by a later configuration ends its job (fail_exhausted_job), as a failed run does; before, it was started once more. Known to the log only while all schedulers know it.

Why it works: what is recorded counts against the cap, so that starts that are lost together are held against it together, and the log's order decides which configuration a start obeys.

--- a/include/fescuestream/jobs/command.h
+++ b/include/fescuestream/jobs/command.h
@@ -266,9 +266,24 @@
     }
 };
 
-using command =
-    std::variant<no_operation, put_document, set_data_centre, submit_job, cancel_job,
-                 start_occurrence, start_runs, end_runs, start_maintenance, step_maintenance,
-                 order_machine, remove_jobs, freeze_leases, refuse_job, rotate_refused_jobs>;
+/**
+ * Fails a job of which a task waits that has failed as often as the terms in force allow: a later
+ * configuration may allow fewer attempts. Proposed only while every scheduler knows this command.
+ */
+struct fail_exhausted_job {
+    job_id id;
+    wall_ms now{0};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, now);
+    }
+};
+
+using command = std::variant<no_operation, put_document, set_data_centre, submit_job, cancel_job,
+                             start_occurrence, start_runs, end_runs, start_maintenance,
+                             step_maintenance, order_machine, remove_jobs, freeze_leases,
+                             refuse_job, rotate_refused_jobs, fail_exhausted_job>;
 
 } // namespace fescue::jobs
--- a/include/fescuestream/jobs/state.h
+++ b/include/fescuestream/jobs/state.h
@@ -178,6 +178,8 @@
     const step_spec* find_step_spec(const task_id& id) const;
     /** @return the queue's current terms, or those stored with the job if the queue was removed. */
     const queue_terms& current_terms(const job& j) const;
+    /** @return whether the task has failed as often as the terms in force allow. */
+    bool has_used_attempts(const job& j, const step_spec& spec, const task& t) const;
     /** Rebuilds the derived indexes. */
     void rebuild_indexes();
 
--- a/include/fescuestream/wire/send_queue.h
+++ b/include/fescuestream/wire/send_queue.h
@@ -37,7 +37,8 @@
 bool accepts_caller_limits(const hello& from);
 /** @return whether the sender of a hello message knows the messages of stamped orders. */
 bool accepts_order_stamps(const hello& from);
-/** @return whether the sender of a hello message knows the commands on refused jobs. */
+/** @return whether the sender of a hello message knows the commands on refused and exhausted
+ * jobs. */
 bool accepts_job_refusals(const hello& from);
 
 /** Bytes that waited for the connection. */
--- a/src/fleet/caller_api.cpp
+++ b/src/fleet/caller_api.cpp
@@ -306,7 +306,7 @@
         reply(too_many_refusals());
         return;
     }
-    if (!context_.log_accepts_refusals) {
+    if (!context_.all_commands_known) {
         unrecorded.add(account, id);
         reply(no_such_job());
         return;
--- a/src/fleet/core_context.h
+++ b/src/fleet/core_context.h
@@ -29,8 +29,8 @@
     job_log& log;
     metrics& counters;
     job_memory stored_jobs{settings.max_job_bytes};
-    /** Whether every scheduler knows the commands on refused jobs. */
-    bool log_accepts_refusals{true};
+    /** Whether every scheduler knows the commands on refused and exhausted jobs. */
+    bool all_commands_known{true};
 
     mono_time now() const noexcept { return loop.now(); }
     const jobs::state& state() const noexcept { return log.state(); }
--- a/src/fleet/dispatcher.cpp
+++ b/src/fleet/dispatcher.cpp
@@ -23,42 +23,9 @@
 constexpr milliseconds stats_log_interval{1000};
 constexpr double milli_per_core = 1000.0;
 constexpr double percent = 100.0;
-/** A server whose last report is older than this (three report periods) gets no new runs. */
-constexpr milliseconds report_timeout{4500};
 /** A batch of starts not applied within this time is assumed lost in a change of leader. */
 constexpr milliseconds batch_timeout{3000};
 
-/** @return why the server gets no new runs; empty if it may get some. */
-std::string_view exclusion_reason(const server_view& view, mono_time now)
-{
-    if (view.has_shut_down || view.report.leaving) {
-        return "leaving";
-    }
-    if (view.misses > 0 || view.report.address.empty()) {
-        return "no_answer";
-    }
-    if (now - view.last_report_at >= report_timeout) {
-        return "no_report";
-    }
-    if (view.cordoned) {
-        return "cordoned";
-    }
-    if (!view.may_renew_lease()) {
-        return "leases_frozen";
-    }
-    if (now < view.refused_until) {
-        return "refused_a_start";
-    }
-    if (view.capacity_outdated) {
-        return "capacity_outdated";
-    }
-    if (view.unknown_runs > 0) {
-        return "unknown_runs";
-    }
-    const bool polled = view.clock.lower_bound(now) && (view.fenced || view.runs.empty());
-    return polled ? std::string_view{} : "not_polled";
-}
-
 bool has_trial_task(const server_view& view)
 {
     return std::ranges::any_of(view.runs, [](const auto& entry) {
@@ -276,15 +243,17 @@
     loads_.clear();
     const auto& state = context_.state();
     for (const auto& [id, view] : driver_.servers()) {
-        std::string_view reason = exclusion_reason(view, round.now);
-        const bool capacity_unconfirmed =
-            reason.empty() && !state.doc.enforces_capacity(view.report.pool) &&
-            !view.capacity_is_recent(round.now, max_capacity_age(context_.settings.bounds));
-        if (capacity_unconfirmed) {
-            reason = "capacity_unconfirmed";
-        } else if (reason.empty() && state.out_of_service.contains(view.report.data_centre)) {
-            reason = "out_of_service";
-        } else if (reason.empty() && health_.is_backed_off(id, round.now)) {
+        start_obstacle obstacle =
+            find_server_obstacle(view, state, context_.settings.bounds, round.now);
+        const bool may_get_runs =
+            obstacle == start_obstacle::none || obstacle == start_obstacle::capacity_unconfirmed;
+        const start_obstacle of_placement = find_placement_obstacle(view, round.now);
+        if (may_get_runs && of_placement != start_obstacle::none) {
+            obstacle = of_placement;
+        }
+        const bool capacity_unconfirmed = obstacle == start_obstacle::capacity_unconfirmed;
+        std::string_view reason = name_of(obstacle);
+        if (reason.empty() && health_.is_backed_off(id, round.now)) {
             reason = "backed_off";
         }
         round.availability[view.report.pool].push_back(
--- a/src/fleet/dispatcher.h
+++ b/src/fleet/dispatcher.h
@@ -80,6 +80,8 @@
     void start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                     std::uint32_t occurrence, std::uint32_t step,
                     std::vector<scheduler::server_candidate>& servers);
+    /** Ends a job of which a task has failed as often as a later configuration allows. */
+    void end_exhausted_job(const jobs::job_id& id);
     /** @return a server for the task, unless the failed searches of the round rule one out.
      * @param is_gang_begun whether other members of the task's gang have been placed in the round.
      */
@@ -128,10 +130,10 @@
     /** @return whether the task has waited so long that reservations do not apply to it. */
     bool may_share_server(const jobs::task_id& task, const jobs::step_spec& spec,
                           const jobs::crash_record* record, bool suspected, mono_time now) const;
-    /** @return the account's cap, or nullptr if it has none. */
-    const jobs::resources* find_cap(const team_id& account) const;
-    bool within_account_cap(const scheduling_round& round, const team_id& account,
-                            const jobs::resources& need) const;
+    /** @return whether the account stays within its cap with one more task beside its running ones
+     * and the starts of the round. */
+    bool has_room_in_cap(const scheduling_round& round, const team_id& account,
+                         const jobs::resources& need) const;
     /** Counts up to @p tasks waiting tasks as demand, as far as the account's cap allows them
      * beside its running tasks and the demand counted before. @return their number. */
     std::int64_t claim_within_cap(scheduling_round& round, const team_id& account,
--- a/src/fleet/job_placement.cpp
+++ b/src/fleet/job_placement.cpp
@@ -1,6 +1,9 @@
 #include "dispatcher.h"
 #include "scheduling_round.h"
 #include "scope_timer.h"
+#include "start_gate.h"
+
+#include "fescuestream/base/log.h"
 
 #include <algorithm>
 #include <cmath>
@@ -26,33 +29,11 @@
         std::ranges::count(tasks, jobs::task_phase::waiting, &jobs::task::phase));
 }
 
-bool within_limits(const jobs::resources& used, const jobs::resources& cap)
-{
-    const auto within_limit = [](std::int64_t amount, std::int64_t limit) {
-        return limit == 0 || amount <= limit;
-    };
-    return within_limit(used.cpu_milli, cap.cpu_milli) &&
-           within_limit(used.memory_mb, cap.memory_mb) &&
-           within_limit(used.accelerators, cap.accelerators);
-}
-
 } // namespace
 
-const jobs::resources* dispatcher::find_cap(const team_id& account) const
+bool dispatcher::has_room_in_cap(const scheduling_round& round, const team_id& account,
+                                 const jobs::resources& need) const
 {
-    const auto& accounts = context_.state().doc.accounts;
-    const auto known = accounts.find(account);
-    return known == accounts.end() || known->second.cap == jobs::resources{} ? nullptr
-                                                                             : &known->second.cap;
-}
-
-bool dispatcher::within_account_cap(const scheduling_round& round, const team_id& account,
-                                    const jobs::resources& need) const
-{
-    const jobs::resources* cap = find_cap(account);
-    if (cap == nullptr) {
-        return true;
-    }
     const auto& in_use = context_.state().in_use;
     jobs::resources sum = need;
     if (const auto used = in_use.find(account); used != in_use.end()) {
@@ -61,13 +42,13 @@
     if (const auto added = round.added_usage.find(account); added != round.added_usage.end()) {
         sum += added->second;
     }
-    return within_limits(sum, *cap);
+    return is_within_cap(context_.state(), account, sum);
 }
 
 std::int64_t dispatcher::claim_within_cap(scheduling_round& round, const team_id& account,
                                           const jobs::resources& need, std::int64_t tasks) const
 {
-    const jobs::resources* cap = find_cap(account);
+    const jobs::resources* cap = find_cap(context_.state(), account);
     if (cap == nullptr) {
         return tasks;
     }
@@ -136,7 +117,7 @@
     for (const auto& [number, o] : j.occurrences) {
         for (std::uint32_t i = 0; i < o.steps.size(); ++i) {
             if (o.steps[i].running + o.steps[i].done < o.steps[i].tasks.size() &&
-                j.may_start(o, i) && within_account_cap(round, j.account, j.spec.steps[i].need)) {
+                j.may_start(o, i) && has_room_in_cap(round, j.account, j.spec.steps[i].need)) {
                 start_step(round, id, j, number, i, servers);
             }
         }
@@ -279,6 +260,14 @@
     c.latency_limited = c.latency_limited || spec.latency_limit_ms > 0;
 }
 
+void dispatcher::end_exhausted_job(const jobs::job_id& id)
+{
+    const jobs::fail_exhausted_job cmd{id, wall_now()};
+    if (context_.all_commands_known && context_.log.propose_here(cmd)) {
+        log::info("job_exhausted", {{"job", id.text()}, {"version", context_.state().doc.version}});
+    }
+}
+
 void dispatcher::start_step(scheduling_round& round, const jobs::job_id& id, const jobs::job& j,
                             std::uint32_t occurrence, std::uint32_t step,
                             std::vector<server_candidate>& servers)
@@ -348,7 +337,14 @@
         if (tasks[i].phase != jobs::task_phase::waiting) {
             continue;
         }
-        if (!within_account_cap(round, j.account, spec.need)) {
+        if (!has_room_in_cap(round, j.account, spec.need)) {
+            if (spec.gang) {
+                undo_gang();
+            }
+            return;
+        }
+        if (context_.state().has_used_attempts(j, spec, tasks[i])) {
+            end_exhausted_job(id);
             if (spec.gang) {
                 undo_gang();
             }
--- a/src/fleet/machine_driver.cpp
+++ b/src/fleet/machine_driver.cpp
@@ -442,7 +442,8 @@
         return;
     }
     find_unlisted_servers();
-    if (!may_take_down(*entry)) {
+    const bool evacuated = context_.state().out_of_service.contains(entry->data_centre);
+    if (evacuated || !may_take_down(*entry)) {
         // A start was committed, or another server appeared, after the move had been decided.
         log::info("move_dropped", {{"machine", machine}, {"to", to.str()}});
         driver_.cordon(entry->server, false);
--- a/src/fleet/machine_maintenance.cpp
+++ b/src/fleet/machine_maintenance.cpp
@@ -217,19 +217,14 @@
                 !may_move_again(server->second, run, context_.now())) {
                 continue;
             }
-            std::uint32_t unavailable = 0;
-            for (std::uint32_t i = 0; i < spec->tasks; ++i) {
-                const task_id other{task.job, task.occurrence, task.step, i};
-                unavailable += i != task.index && !driver_.is_ready(other) ? 1 : 0;
-            }
-            if (spec->max_unavailable == 0 || unavailable < spec->max_unavailable) {
+            if (driver_.may_be_stopped_for_maintenance(task)) {
                 // From now on is_ready() is false for this task, so it counts as unavailable when
                 // the next task of the step is considered.
-                driver_.stop(task, "maintenance");
+                driver_.stop(task, std::string{maintenance_stop});
             }
         }
         for (const task_id& task : stops) {
-            driver_.stop(task, "maintenance");
+            driver_.stop(task, std::string{maintenance_stop});
         }
     }
 }
--- a/src/fleet/run_driver.cpp
+++ b/src/fleet/run_driver.cpp
@@ -321,6 +321,11 @@
         log_suspects(*ends);
     } else if (const auto* cancel = std::get_if<jobs::cancel_job>(&cmd)) {
         stop_job_runs(cancel->id, "job_cancelled");
+    } else if (const auto* failed = std::get_if<jobs::fail_exhausted_job>(&cmd)) {
+        const auto job = context_.state().jobs.find(failed->id);
+        if (job != context_.state().jobs.end() && has_ended(job->second.phase)) {
+            stop_job_runs(failed->id, "job_is_over");
+        }
     }
 }
 
@@ -340,16 +345,7 @@
     run.ordered_at = context_.now();
     run.started_while_draining = view.draining;
     run_view& added = add_run(view, task, run);
-    if (view.report.incarnation_id != cmd.incarnation_id || view.has_shut_down ||
-        !view.may_renew_lease() || !context_.has_leader_lease()) {
-        propose_end(cmd.run, run_outcome::not_begun, "", "server_changed_before_the_order");
-        return;
-    }
-    if (!has_capacity(view)) {
-        propose_end(cmd.run, run_outcome::not_begun, "", "no_capacity_before_the_order");
-        return;
-    }
-    send_start(view, task, added);
+    order_start(view, task, added);
 }
 
 void run_driver::on_end_runs(const jobs::end_runs& cmd)
@@ -452,7 +448,7 @@
                                      !run.end_proposed &&
                                      now - run.last_stop_attempt >= stop_retry_interval;
             if (resend_stop) {
-                send_stop(view, task, run);
+                order_stop_again(view, task, run);
             }
         }
         end_lost_runs(view);
@@ -574,6 +570,20 @@
            !run->second.end_proposed && run->second.ready_since;
 }
 
+bool run_driver::may_be_stopped_for_maintenance(const task_id& task) const
+{
+    const auto* spec = context_.state().find_step_spec(task);
+    if (spec == nullptr || spec->max_unavailable == 0) {
+        return spec != nullptr;
+    }
+    std::uint32_t unavailable = 0;
+    for (std::uint32_t i = 0; i < spec->tasks; ++i) {
+        const task_id other{task.job, task.occurrence, task.step, i};
+        unavailable += i != task.index && !is_ready(other) ? 1 : 0;
+    }
+    return unavailable < spec->max_unavailable;
+}
+
 const run_view* run_driver::find_run_view(const task_id& task) const
 {
     return const_cast<run_driver*>(this)
--- a/src/fleet/run_driver.h
+++ b/src/fleet/run_driver.h
@@ -9,6 +9,7 @@
 #include "core_context.h"
 #include "run_timing.h"
 #include "server_view.h"
+#include "start_gate.h"
 
 #include "fescuestream/scheduler/poll_pacing.h"
 #include "fescuestream/wire/message.h"
@@ -24,6 +25,9 @@
 
 namespace fescue::fleet {
 
+/** Reason of the stops that empty a server for its maintenance. */
+inline constexpr std::string_view maintenance_stop = "maintenance";
+
 class run_driver {
 public:
     /**
@@ -84,6 +88,9 @@
     /** @return whether a recent poll showed the task at full work, no stop is requested and no end
      * of its run is proposed. */
     bool is_ready(const jobs::task_id& task) const;
+    /** @return whether as many other tasks of the step are at work as its owner asks for while one
+     * is stopped. */
+    bool may_be_stopped_for_maintenance(const jobs::task_id& task) const;
     /** @return the leader's view of a task's run, or nullptr. */
     const run_view* find_run_view(const jobs::task_id& task) const;
     /** @return the number of start and stop orders that have been sent but not answered. */
@@ -113,18 +120,18 @@
     /** @return whether the server's current incarnation has announced its end and may have come to
      * it: a shutdown notice names no incarnation. */
     bool is_shutdown_due(const server_view& view) const;
-    /** @return whether the server's capacity holds its runs, by a report that is recent enough. */
-    bool has_capacity(const server_view& view) const;
     /** @return the longest lease that a server grants, whatever was requested. */
     milliseconds max_run_lease() const;
     /** @return a time by which every lease granted by an earlier leader has expired. */
     mono_time inherited_lease_expiry(mono_time now) const;
 
     void send_order(const server_view& view, const server_order& order, relay::callback done);
+    /** Sends a recorded start if nothing stands against it now; otherwise the task returns to the
+     * waiting ones. Precondition: the server can't execute an earlier copy any more. */
+    void order_start(server_view& view, const jobs::task_id& task, run_view& run);
     void send_start(server_view& view, const jobs::task_id& task, run_view& run);
-    /** @return whether the start may be sent to the server now: it accepts runs and has capacity.
-     */
-    bool may_send_start(const server_view& view, const jobs::task_id& task) const;
+    static void log_withheld_start(const start_check& c, const run_view& run,
+                                   start_obstacle obstacle);
     /** Resolves a start without an answer that a later poll does not list, once the server's
      * current incarnation refuses all of its copies. */
     void resolve_missing_start(server_view& view, const jobs::task_id& task, run_view& run);
@@ -136,6 +143,10 @@
     void on_start_reply(const server_id& id, const jobs::run_id& run, const order_reply& reply,
                         const sent_order& order);
     void send_stop(server_view& view, const jobs::task_id& task, run_view& run);
+    /** Sends a stop without an answer again if it is still wanted and nothing stands against it
+     * now.
+     */
+    void order_stop_again(server_view& view, const jobs::task_id& task, run_view& run);
     void on_stop_reply(const server_id& id, incarnation incarnation_id, const jobs::run_id& run,
                        const order_reply& reply);
     void poll_server(server_view& view);
--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -75,6 +75,25 @@
                });
 }
 
+void run_driver::order_stop_again(server_view& view, const task_id& task, run_view& run)
+{
+    if (run.stop_reason != maintenance_stop) {
+        send_stop(view, task, run);
+        return;
+    }
+    const bool is_wanted = view.cordoned || view.draining;
+    if (is_wanted && (!run.long_running || may_be_stopped_for_maintenance(task))) {
+        send_stop(view, task, run);
+    } else if (!is_wanted && context_.now() - run.last_stop_attempt >= max_order_delay) {
+        // No earlier copy can arrive any more.
+        log::info(
+            "stop_withdrawn",
+            {{"task", task.text()}, {"attempt", run.attempt}, {"server", view.report.id.str()}});
+        run.stop_reason.clear();
+        run.stop_failure_logged = false;
+    }
+}
+
 void run_driver::on_stop_reply(const server_id& id, incarnation incarnation_id,
                                const jobs::run_id& name, const order_reply& reply)
 {
@@ -118,6 +137,57 @@
     return same ? &found->second : nullptr;
 }
 
+void run_driver::order_start(server_view& view, const task_id& task, run_view& run)
+{
+    const bool is_first = run.starts_sent == 0;
+    const start_check check{context_.state(),
+                            context_.settings.bounds,
+                            view,
+                            task,
+                            run.starts_sent,
+                            context_.has_leader_lease(),
+                            is_first || run.started_while_draining,
+                            context_.now()};
+    const start_obstacle obstacle = find_obstacle(check);
+    if (obstacle == start_obstacle::none) {
+        send_start(view, task, run);
+    } else if (is_first || !clears_with_next_poll(obstacle)) {
+        log_withheld_start(check, run, obstacle);
+        context_.counters.count(fmt::format("starts_withheld_{}", name_of(obstacle)));
+        propose_end({task, run.attempt}, run_outcome::not_begun, "", "start_withheld");
+    }
+}
+
+void run_driver::log_withheld_start(const start_check& c, const run_view& run,
+                                    start_obstacle obstacle)
+{
+    const jobs::job& job = c.state.jobs.at(c.task.job);
+    const jobs::resources need = c.state.find_step_spec(c.task)->need;
+    const jobs::resources others = usage_of_others(c.state, c.task);
+    const jobs::resources* found = find_cap(c.state, job.account);
+    const jobs::resources cap = found == nullptr ? jobs::resources{} : *found;
+    const jobs::resources free = c.server.free();
+    log::info("start_withheld", {{"task", c.task.text()},
+                                 {"attempt", run.attempt},
+                                 {"server", c.server.report.id.str()},
+                                 {"why", name_of(obstacle)},
+                                 {"copies", c.copies},
+                                 {"version", c.state.doc.version},
+                                 {"account", job.account.str()},
+                                 {"need_cpu", need.cpu_milli},
+                                 {"others_cpu", others.cpu_milli},
+                                 {"cap_cpu", cap.cpu_milli},
+                                 {"need_mb", need.memory_mb},
+                                 {"others_mb", others.memory_mb},
+                                 {"cap_mb", cap.memory_mb},
+                                 {"others_accelerators", others.accelerators},
+                                 {"cap_accelerators", cap.accelerators},
+                                 {"free_cpu", free.cpu_milli},
+                                 {"free_mb", free.memory_mb},
+                                 {"pool", c.state.current_terms(job).pool.str()},
+                                 {"server_pool", c.server.report.pool.str()}});
+}
+
 void run_driver::send_start(server_view& view, const task_id& task, run_view& run)
 {
     const mono_time now = context_.now();
@@ -239,24 +309,6 @@
     propose_end(name, run_outcome::not_begun, "", "refused");
 }
 
-bool run_driver::has_capacity(const server_view& view) const
-{
-    return view.used.fits(view.report.capacity) &&
-           (context_.state().doc.enforces_capacity(view.report.pool) ||
-            view.capacity_is_recent(context_.now(), max_capacity_age(context_.settings.bounds)));
-}
-
-bool run_driver::may_send_start(const server_view& view, const task_id& task) const
-{
-    const jobs::state& state = context_.state();
-    const jobs::job& job = state.jobs.at(task.job);
-    const bool accepts_runs =
-        view.reachable() && !view.report.leaving && !view.cordoned && !view.draining;
-    return accepts_runs && !has_ended(job.phase) && has_capacity(view) &&
-           state.current_terms(job).pool == view.report.pool &&
-           !state.out_of_service.contains(view.report.data_centre) && context_.has_leader_lease();
-}
-
 void run_driver::resolve_missing_start(server_view& view, const task_id& task, run_view& run)
 {
     if (view.may_execute_start(run, context_.now())) {
@@ -268,17 +320,12 @@
         propose_end(name, outcome_of_lost_run(view, run, true), "", "not_on_the_server");
         return;
     }
-    if (!view.may_renew_lease() || view.unknown_runs > 0 || !context_.has_leader_lease()) {
-        // A later poll decides: the leases are about to be unfrozen, or stray runs still take
-        // capacity.
-        return;
-    }
-    if (run.stop_reason.empty() && run.starts_sent < max_starts && may_send_start(view, task)) {
-        // The server refuses the earlier copies.
-        send_start(view, task, run);
-    } else {
+    if (!run.stop_reason.empty()) {
         propose_end(name, run_outcome::not_begun, "", "not_on_the_server");
+        return;
     }
+    // The server refuses the earlier copies.
+    order_start(view, task, run);
 }
 
 void run_driver::throttle(const task_id& task, int percent)
--- a/src/fleet/scheduler_instance.cpp
+++ b/src/fleet/scheduler_instance.cpp
@@ -110,8 +110,9 @@
          }}};
     /** Connected schedulers that know the messages of stamped orders. */
     std::set<instance_id> stamping_peers;
-    /** The schedulers that know the commands on refused jobs, and those connected that don't. */
-    std::set<instance_id> refusing_peers;
+    /** The schedulers that know the commands on refused and exhausted jobs, and those connected
+     * that don't. */
+    std::set<instance_id> current_peers;
     std::set<instance_id> outdated_peers;
     std::uint64_t next_number{wire::random_first_number()};
     /** The entries that know the message, and what they were sent last; version 0: nothing. */
@@ -204,7 +205,7 @@
         timers.push_back(loop.every(membership_period, [this] {
             send_caller_limits();
             membership->tick();
-            context->log_accepts_refusals = log_accepts_refusals();
+            context->all_commands_known = all_know_commands();
             order_relay->set_relay_peers(membership->connected_by_data_centre());
         }));
         timers.push_back(loop.every(job_purge_period, [this] { purge_old_jobs(); }));
@@ -280,11 +281,11 @@
     bool may_serve() const { return runs->leading() && context->has_leader_lease(); }
 
     /** An instance that does not know a command of the log halts. */
-    bool log_accepts_refusals() const
+    bool all_know_commands() const
     {
         return outdated_peers.empty() &&
                std::ranges::all_of(log->replica().voters().voters, [&](const auto& voter) {
-                   return voter.id == settings.id || refusing_peers.contains(voter.id);
+                   return voter.id == settings.id || current_peers.contains(voter.id);
                });
     }
 
@@ -348,9 +349,9 @@
             stamping_peers.insert(who.from);
         }
         if (wire::accepts_job_refusals(who)) {
-            refusing_peers.insert(who.from);
+            current_peers.insert(who.from);
         } else {
-            refusing_peers.erase(who.from);
+            current_peers.erase(who.from);
             outdated_peers.insert(who.from);
         }
         wire::server_reports update;
--- a/src/fleet/waiting_tasks.cpp
+++ b/src/fleet/waiting_tasks.cpp
@@ -1,5 +1,7 @@
 #include "waiting_tasks.h"
 
+#include "start_gate.h"
+
 #include "fescuestream/base/log.h"
 
 #include <fmt/format.h>
@@ -12,33 +14,14 @@
 
 constexpr milliseconds min_logged_wait{1500};
 
-std::uint32_t count_step_tasks(const server_view& view, const jobs::task_id& task)
-{
-    std::uint32_t count = 0;
-    const jobs::task_id first{task.job, task.occurrence, task.step, 0};
-    for (auto at = view.runs.lower_bound(first); at != view.runs.end(); ++at, ++count) {
-        if (at->first.job != task.job || at->first.occurrence != task.occurrence ||
-            at->first.step != task.step) {
-            break;
-        }
-    }
-    return count;
-}
-
-std::string_view find_obstacle(const server_availability& s, const jobs::task_id& task,
-                               const jobs::step_spec& spec)
+std::string_view describe_obstacle(const server_availability& s, const jobs::task_id& task,
+                                   const jobs::step_spec& spec)
 {
     if (!s.exclusion.empty()) {
         return s.exclusion;
     }
-    const auto& labels = s.server->report.labels;
-    if (!spec.label.empty() && std::ranges::find(labels, spec.label) == labels.end()) {
-        return "label_missing";
-    }
-    if (spec.max_per_server > 0 && count_step_tasks(*s.server, task) >= spec.max_per_server) {
-        return "runs_the_step";
-    }
-    return spec.required_capacity().fits(s.server->free()) ? "available" : "no_capacity";
+    const start_obstacle obstacle = find_step_obstacle(*s.server, task, spec);
+    return obstacle == start_obstacle::none ? "available" : name_of(obstacle);
 }
 
 } // namespace
@@ -93,7 +76,7 @@
     std::map<std::string_view, std::size_t> counts;
     if (const auto in_pool = servers.find(pool); in_pool != servers.end()) {
         for (const server_availability& s : in_pool->second) {
-            ++counts[find_obstacle(s, task, spec)];
+            ++counts[describe_obstacle(s, task, spec)];
         }
     }
     std::string obstacles;
--- a/src/jobs/state.cpp
+++ b/src/jobs/state.cpp
@@ -165,9 +165,7 @@
 void record_failed_run(state& s, const task_id& id, job& j, task& t, wall_ms now)
 {
     ++t.failed_runs;
-    const step_spec& spec = j.spec.steps[id.step];
-    const bool attempts_exhausted =
-        !spec.long_running && t.failed_runs >= s.current_terms(j).max_failed_runs;
+    const bool attempts_exhausted = s.has_used_attempts(j, j.spec.steps[id.step], t);
     if (attempts_exhausted && !has_ended(j.phase)) {
         end_job(s, id.job, j, job_phase::failed, now);
     }
@@ -372,6 +370,27 @@
     return {std::nullopt, true};
 }
 
+outcome apply_command(state& s, const fail_exhausted_job& cmd)
+{
+    const auto found = s.jobs.find(cmd.id);
+    if (found == s.jobs.end() || has_ended(found->second.phase)) {
+        return {};
+    }
+    job& j = found->second;
+    for (const auto& [number, o] : j.occurrences) {
+        for (std::size_t i = 0; i < o.steps.size(); ++i) {
+            const auto is_exhausted = [&](const task& t) {
+                return t.phase == task_phase::waiting && s.has_used_attempts(j, j.spec.steps[i], t);
+            };
+            if (std::ranges::any_of(o.steps[i].tasks, is_exhausted)) {
+                end_job(s, cmd.id, j, job_phase::failed, cmd.now);
+                return {std::nullopt, true};
+            }
+        }
+    }
+    return {};
+}
+
 outcome apply_command(state& s, const start_occurrence& cmd)
 {
     const auto found = s.jobs.find(cmd.id);
@@ -532,6 +551,12 @@
     return q == doc.queues.end() ? j.terms : q->second.terms;
 }
 
+bool state::has_used_attempts(const job& j, const step_spec& spec, const task& t) const
+{
+    return !spec.long_running && t.failed_runs > 0 &&
+           t.failed_runs >= current_terms(j).max_failed_runs;
+}
+
 void state::rebuild_indexes()
 {
     active_jobs.clear();
--- a/tests/unit/caller_api_test.cpp
+++ b/tests/unit/caller_api_test.cpp
@@ -265,7 +265,7 @@
 TEST_CASE("caller api: refused ids are not written to the log while a scheduler can't read them")
 {
     leader_of_one leader;
-    leader.context.log_accepts_refusals = false;
+    leader.context.all_commands_known = false;
     CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == gone);
     CHECK(leader.log.state().refused.empty());
     CHECK(leader.status_of("POST", "/orders/" + job_text, shop_key) == gone);
@@ -276,7 +276,7 @@
     for (const bool in_log : {true, false}) {
         leader_of_one leader{manual_clock{mono_time{1h}}};
         leader.callers->on_leadership_gained();
-        leader.context.log_accepts_refusals = in_log;
+        leader.context.all_commands_known = in_log;
         CHECK(leader.status_of("DELETE", "/orders/" + job_text, shop_key) == gone);
         const auto is_refused_after = [&](milliseconds duration) {
             for (milliseconds passed{0}; passed < duration; passed += 1s) {
