Run model: caps and routes that change under way

Accounts have caps and the queue has a pool in the model, and documents change both while its faults go on. After the faults every task must run again, so that a start that is withheld for good shows as well. The existing kinds draw the same random numbers as before.

--- a/tests/fakes/scheduling_model.cpp
+++ b/tests/fakes/scheduling_model.cpp
@@ -23,8 +23,24 @@
 /** The platform counts a long-running task as lost if, from 6 s after its last run, it does not run
  * for 3 s. */
 constexpr milliseconds max_idle_time{9000};
+/** An earlier document may be in force for this long after a later one has been applied. */
+constexpr milliseconds document_apply_time{2000};
+/** Allowed excess over a cap, beside one task. */
+constexpr double cap_overage = 0.1;
+constexpr std::int64_t task_cpu_milli = 1000;
+constexpr std::int64_t caps_cpu_milli[] = {1000, 3000, 8000, 0};
+const team_id capped_account{"capped"};
+const jobs::queue_id queue_name{"q"};
+const pool_id pool_without_servers{"empty"};
 constexpr double late_order_rates[] = {0.05, 0.2, 0.5};
 
+jobs::queue_terms make_terms()
+{
+    jobs::queue_terms terms;
+    terms.max_failed_runs = 1000;
+    return terms;
+}
+
 } // namespace
 
 scheduling_model::scheduling_model(std::uint64_t seed, const model_faults& faults)
@@ -143,6 +159,14 @@
     jobs::document doc;
     doc.version = 1;
     doc.pools.emplace(pool_id{}, jobs::job_pool{});
+    if (faults_.caps || faults_.routes) {
+        doc.pools.emplace(pool_without_servers, jobs::job_pool{});
+        doc.accounts.emplace(capped_account, jobs::account{});
+        jobs::queue q;
+        q.id = queue_name;
+        q.terms = make_terms();
+        doc.queues.emplace(queue_name, q);
+    }
     log_.propose_here(jobs::put_document{doc});
     for (std::uint64_t i = 0; i < long_running_jobs; ++i) {
         submit(true);
@@ -154,8 +178,13 @@
     loop_.advance(2000ms);
     faults_end_ = loop_.now() + fault_time;
     const mono_time end = faults_end_ + settling_time + recovery_time;
+    bool restored = false;
     while (loop_.now() < end && !violation_) {
         loop_.advance(tick_period);
+        // There may be no leader at first.
+        if (!restored && !faulty()) {
+            restored = restore_document();
+        }
         const bool recovered = loop_.now() >= faults_end_ + recovery_time;
         if (const auto idle = recovered ? find_idle_task() : std::nullopt) {
             report_violation("does not run although there were no faults", *idle);
@@ -169,14 +198,101 @@
 
 void scheduling_model::submit(bool long_running)
 {
-    jobs::queue_terms terms;
-    terms.max_failed_runs = 1000;
     jobs::job_spec spec;
     spec.steps.resize(1);
-    spec.steps[0].need = {1000, 1000, 0};
+    spec.steps[0].need = {task_cpu_milli, 1000, 0};
     spec.steps[0].long_running = long_running;
-    log_.propose_here(
-        jobs::submit_job{jobs::job_id{++next_job_}, jobs::queue_id{"q"}, terms, {}, spec, 1});
+    const jobs::job_id id{++next_job_};
+    const team_id account = faults_.caps && is_capped(id) ? capped_account : team_id{};
+    log_.propose_here(jobs::submit_job{id, queue_name, make_terms(), account, spec, 1});
+}
+
+bool scheduling_model::change_document(const std::function<void(jobs::document&)>& change)
+{
+    jobs::document doc = log_.state().doc;
+    change(doc);
+    ++doc.version;
+    return log_.propose_here(jobs::put_document{doc});
+}
+
+void scheduling_model::change_cap()
+{
+    const std::int64_t cap = caps_cpu_milli[pick(std::size(caps_cpu_milli))];
+    record(fmt::format("the cap becomes {}", cap));
+    change_document(
+        [&](jobs::document& doc) { doc.accounts.at(capped_account).cap.cpu_milli = cap; });
+}
+
+void scheduling_model::change_route()
+{
+    const pool_id pool = chance(0.5) ? pool_id{} : pool_without_servers;
+    record(fmt::format("the queue's pool becomes '{}'", pool.str()));
+    change_document([&](jobs::document& doc) { doc.queues.at(queue_name).terms.pool = pool; });
+}
+
+bool scheduling_model::restore_document()
+{
+    if (!faults_.caps && !faults_.routes) {
+        return true;
+    }
+    return change_document([](jobs::document& doc) {
+        doc.accounts.at(capped_account).cap = {};
+        doc.queues.at(queue_name).terms.pool = pool_id{};
+    });
+}
+
+bool scheduling_model::has_room_in_cap(std::int64_t added_cpu) const
+{
+    const auto account = log_.state().doc.accounts.find(capped_account);
+    const auto in_use = log_.state().in_use.find(capped_account);
+    const std::int64_t cap =
+        account == log_.state().doc.accounts.end() ? 0 : account->second.cap.cpu_milli;
+    const std::int64_t used = in_use == log_.state().in_use.end() ? 0 : in_use->second.cpu_milli;
+    return cap == 0 || used + added_cpu + task_cpu_milli <= cap;
+}
+
+void scheduling_model::check_documents(const jobs::run_id& run)
+{
+    // Those in force when the order was sent or since, and those that may have been.
+    const mono_time since = std::min(executed_start_sent_at_, loop_.now() - document_apply_time);
+    std::int64_t highest_cap = 0;
+    bool has_no_cap = false;
+    bool is_routed = false;
+    for (std::size_t i = 0; i < documents_.size(); ++i) {
+        const bool ended_before = i + 1 < documents_.size() && documents_[i + 1].first < since;
+        if (ended_before) {
+            continue;
+        }
+        const jobs::document& doc = documents_[i].second;
+        const auto account = doc.accounts.find(capped_account);
+        const std::int64_t cap = account == doc.accounts.end() ? 0 : account->second.cap.cpu_milli;
+        has_no_cap = has_no_cap || cap == 0;
+        highest_cap = std::max(highest_cap, cap);
+        const auto queue = doc.queues.find(queue_name);
+        is_routed = is_routed || queue == doc.queues.end() || queue->second.terms.pool.empty();
+    }
+    if (!is_routed) {
+        report_violation("started in a pool that no document sends it to", run.task);
+    }
+    if (!is_capped(run.task.job) || has_no_cap) {
+        return;
+    }
+    std::int64_t used = 0;
+    for (std::uint64_t number = 1; number <= next_job_; ++number) {
+        const jobs::task_id task{jobs::job_id{number}, 0, 0, 0};
+        for (const auto& m : machines_) {
+            const bool counts = is_capped(task.job) && m->server;
+            used += counts ? static_cast<std::int64_t>(m->server->active_attempts(task).size()) *
+                                 task_cpu_milli
+                           : 0;
+        }
+    }
+    const double allowed =
+        static_cast<double>(highest_cap) * (1 + cap_overage) + static_cast<double>(task_cpu_milli);
+    if (static_cast<double>(used) > allowed) {
+        report_violation(
+            fmt::format("brings its account to {} with a cap of {}", used, highest_cap), run.task);
+    }
 }
 
 std::optional<jobs::task_id> scheduling_model::find_idle_task() const
@@ -217,6 +333,12 @@
         if (faults_.stopped_leaders && happens_within(6000ms)) {
             stop_leader();
         }
+        if (faults_.caps && happens_within(3000ms)) {
+            change_cap();
+        }
+        if (faults_.routes && happens_within(4000ms)) {
+            change_route();
+        }
         if (loop_.now() >= next_submission_) {
             next_submission_ = loop_.now() + between(50ms, 500ms);
             submit(false);
@@ -354,6 +476,9 @@
 
 void scheduling_model::on_applied(const jobs::command& cmd)
 {
+    if (std::holds_alternative<jobs::put_document>(cmd)) {
+        documents_.emplace_back(loop_.now(), log_.state().doc);
+    }
     if (const auto* starts = std::get_if<jobs::start_runs>(&cmd)) {
         for (const jobs::start_run& start : starts->runs) {
             // A start that reaches no server begins another wait.
@@ -403,14 +528,22 @@
         return;
     }
     jobs::start_runs batch;
+    std::int64_t added_cpu = 0;
     for (const jobs::job_id& id : log_.state().active_jobs) {
         const jobs::task_id task{id, 0, 0, 0};
+        const jobs::job& job = log_.state().jobs.at(id);
+        const bool is_limited = job.account == capped_account;
+        if (!log_.state().current_terms(job).pool.empty() ||
+            (is_limited && !has_room_in_cap(added_cpu))) {
+            continue;
+        }
         const jobs::task* t = log_.state().find(task);
         if (t != nullptr && t->phase == jobs::task_phase::waiting &&
             !has_ended(log_.state().jobs.at(id).phase)) {
             const fleet::server_view& view = *candidates[pick(candidates.size())];
             batch.runs.push_back(
                 {{task, t->attempt + 1}, view.report.id, view.report.incarnation_id});
+            added_cpu += is_limited ? task_cpu_milli : 0;
         }
     }
     if (!batch.runs.empty()) {
@@ -433,6 +566,9 @@
     if (active > 1) {
         report_violation("runs twice at the same time", run.task);
     }
+    if (faults_.caps || faults_.routes) {
+        check_documents(run);
+    }
     if (done_tasks_.contains(run.task)) {
         report_violation("started after the log recorded its end as done", run.task);
     }
--- a/tests/fakes/scheduling_model.h
+++ b/tests/fakes/scheduling_model.h
@@ -3,7 +3,8 @@
 /**
  * @file
  * A simulation of the schedulers' run drivers, their backend servers and the network between them,
- * in virtual time and with seeded faults. It checks that no task runs twice at the same time.
+ * in virtual time and with seeded faults. It checks that no task runs twice at the same time, and
+ * that starts obey the documents in force, by what the servers execute.
  */
 
 #include "fakes/fake_server_fleet.h"
@@ -50,6 +51,10 @@
     bool stopped_leaders{false};
     bool one_way_cuts{false};
     bool cuts{false};
+    /** Documents change the cap of an account under way. */
+    bool caps{false};
+    /** Documents send the queue to another pool, which has no servers, and back. */
+    bool routes{false};
 };
 
 struct model_violation {
@@ -122,6 +127,7 @@
         scheduler* from;
         std::uint64_t number;
         fleet::addressed_order to;
+        mono_time sent_at{};
     };
     void send(const call& order);
     void execute(const call& order, bool late);
@@ -131,6 +137,20 @@
     machine* find_machine(const std::string& address);
     void record_order(const call& order, const std::string& fate);
 
+    /** @return false if there is no leader. */
+    bool change_document(const std::function<void(jobs::document&)>& change);
+    void change_cap();
+    void change_route();
+    /** Ends the changes of documents: no cap, and the pool with servers. @return false if there is
+     * no leader. */
+    bool restore_document();
+    /** Reports a start that no document which may be in force allows. */
+    void check_documents(const jobs::run_id& run);
+    /** @return whether the account has room for another task, as fleet::dispatcher decides it. */
+    bool has_room_in_cap(std::int64_t added_cpu) const;
+    /** Jobs with even numbers belong to the account with a cap. */
+    static bool is_capped(const jobs::job_id& job) { return job.number % 2 == 0; }
+
     void submit(bool long_running);
     bool is_long_running(const jobs::task_id& task) const
     {
@@ -164,6 +184,10 @@
     std::map<jobs::task_id, mono_time> last_active_;
     /** Runs that ended as done, and whether their task was started again since. */
     std::map<jobs::run_id, bool> done_runs_;
+    /** Documents in the order in which they were applied, and when. */
+    std::vector<std::pair<mono_time, jobs::document>> documents_;
+    /** When the start that a server is executing was sent. */
+    mono_time executed_start_sent_at_{};
     std::vector<trace_event> trace_;
     std::optional<model_violation> violation_;
     std::size_t starts_{0};
--- a/tests/fakes/scheduling_model_parts.h
+++ b/tests/fakes/scheduling_model_parts.h
@@ -14,13 +14,14 @@
 struct scheduling_model::scheduler {
     scheduler(scheduling_model& model, std::size_t number)
         : id{"s" + std::to_string(number)},
-          order_relay{
-              model.loop_, client, wire,
-              [&model, this](const instance_id&, const wire::message& m) {
-                  const auto& c = std::get<wire::relayed_call>(m);
-                  model.send({this, c.number, value(from_bytes<fleet::addressed_order>(c.order))});
-                  return true;
-              }},
+          order_relay{model.loop_, client, wire,
+                      [&model, this](const instance_id&, const wire::message& m) {
+                          const auto& c = std::get<wire::relayed_call>(m);
+                          model.send({this, c.number,
+                                      value(from_bytes<fleet::addressed_order>(c.order)),
+                                      model.loop_.now()});
+                          return true;
+                      }},
           client{model.loop_}, context{model.loop_, settings,   wire,    client,
                                        order_relay, model.log_, counters}
     {
--- a/tests/fakes/scheduling_model_servers.cpp
+++ b/tests/fakes/scheduling_model_servers.cpp
@@ -312,6 +312,7 @@
         return;
     }
     const term_number known_token = server.fencing_token();
+    executed_start_sent_at_ = order.sent_at;
     const auto execute_order = [&](const auto& o) {
         const fleet::order_reply reply = server.execute(o, now);
         record_order(order, fmt::format("{} by life {}, which had seen term {}{}",
--- a/tests/unit/run_model_test.cpp
+++ b/tests/unit/run_model_test.cpp
@@ -39,12 +39,14 @@
         {"leader_changes", &model_faults::leader_changes},
         {"stopped_leaders", &model_faults::stopped_leaders},
         {"one_way_cuts", &model_faults::one_way_cuts},
-        {"cuts", &model_faults::cuts}};
+        {"cuts", &model_faults::cuts},
+        {"caps", &model_faults::caps},
+        {"routes", &model_faults::routes}};
     return kinds;
 }
 
-/** @return all kinds but the relapses: they come with a bound on idle times that does not hold
- * beside the other kinds. */
+/** @return all kinds but the relapses, which come with a bound on idle times that does not hold
+ * beside the other kinds, and the changes of documents, which have cases of their own. */
 model_faults every_kind_of_fault()
 {
     model_faults faults;
@@ -53,6 +55,8 @@
     }
     faults.relapses = false;
     faults.early_relapses = false;
+    faults.caps = false;
+    faults.routes = false;
     return faults;
 }
 
@@ -181,6 +185,31 @@
         CHECK_FALSE(model.run().has_value());
     }
 }
+TEST_CASE("run model: starts obey the documents in force without other faults")
+{
+    CHECK(count_violations({.caps = true, .routes = true}) == 0);
+}
+// Guards against a start that is sent again although a document in force does not allow it.
+TEST_CASE("run model: starts obey the documents in force when messages are lost")
+{
+    CHECK(count_violations({.lost_messages = true, .caps = true, .routes = true}) == 0);
+}
+TEST_CASE("run model: starts obey the documents in force when servers are cut off")
+{
+    CHECK(count_violations({.one_way_cuts = true, .cuts = true, .caps = true, .routes = true}) ==
+          0);
+}
+// Guards against a start that a new leader inherits and sends although no document allows it.
+TEST_CASE("run model: starts obey the documents in force when leaders change")
+{
+    CHECK(count_violations(
+              {.lost_messages = true, .leader_changes = true, .caps = true, .routes = true}) == 0);
+}
+TEST_CASE("run model: starts obey the documents in force when leaders are stopped")
+{
+    CHECK(count_violations(
+              {.lost_messages = true, .stopped_leaders = true, .caps = true, .routes = true}) == 0);
+}
 // Listed in KNOWN-RED.txt.
 TEST_CASE("run model: no task runs twice with every kind of fault" * doctest::may_fail())
 {
