A stop for maintenance gives way to a final one, and has tests

A cancel, the end of a job or of a gang now replaces maintenance as the reason. Two cases of start_gate_test: the stop is sent again only while enough other tasks are at work, and is withdrawn with its maintenance once no copy of it can arrive.

--- a/src/fleet/run_orders.cpp
+++ b/src/fleet/run_orders.cpp
@@ -17,7 +17,10 @@
 void run_driver::stop(const task_id& task, const std::string& reason)
 {
     const auto [view, run] = locate(task);
-    if (run == nullptr || !run->stop_reason.empty()) {
+    // Unlike the other reasons, maintenance waits for other tasks and may be withdrawn.
+    const bool is_final =
+        run != nullptr && !run->stop_reason.empty() && run->stop_reason != maintenance_stop;
+    if (run == nullptr || is_final || run->stop_reason == reason) {
         return;
     }
     run->stop_reason = reason;
--- a/tests/fakes/gated_leader.h
+++ b/tests/fakes/gated_leader.h
@@ -119,6 +119,13 @@
         return !server.active_attempts({jobs::job_id{job}, 0, 0, index}).empty();
     }
 
+    /** @return the number of stops of the task that were sent. */
+    std::size_t stops_of(const jobs::task_id& id) const
+    {
+        const auto found = stops_by_task_.find(id);
+        return found == stops_by_task_.end() ? 0 : found->second;
+    }
+
     /** Starts are neither executed nor answered. */
     bool loses_starts{false};
     bool loses_stops{false};
@@ -165,7 +172,10 @@
         const bool is_start = std::holds_alternative<fleet::start_order>(order);
         const bool is_stop = std::holds_alternative<fleet::stop_order>(order);
         starts_sent += is_start ? 1 : 0;
-        stops_sent += is_stop ? 1 : 0;
+        if (const auto* stop = std::get_if<fleet::stop_order>(&order)) {
+            ++stops_sent;
+            ++stops_by_task_[stop->run.task];
+        }
         if ((is_start && loses_starts) || (is_stop && loses_stops)) {
             return;
         }
@@ -201,6 +211,7 @@
                                [](const fake_server&, const fleet::ended_run&, mono_time) {},
                                [](const fleet::ended_run&) {}};
     std::map<std::uint64_t, timer_handle> answers_;
+    std::map<jobs::task_id, std::size_t> stops_by_task_;
 
 public:
     fake_server server{server_name, "10.0.0.1:80", 1'000, {loop.now(), 0, 1.0}, limits_, events_};
--- a/tests/unit/start_gate_test.cpp
+++ b/tests/unit/start_gate_test.cpp
@@ -365,6 +365,62 @@
     CHECK(with([](auto& v) { v.capacity_outdated = true; }) == start_obstacle::none);
 }
 
+// Guards against a stop that is sent again when it takes away more tasks than their owner allows.
+TEST_CASE("stops: a stop for maintenance is sent again only while enough other tasks are at work")
+{
+    gated_leader f;
+    jobs::step_spec step = make_step(2);
+    step.long_running = true;
+    step.max_unavailable = 1;
+    f.submit(1, step);
+    f.loop.advance(1s);
+    const jobs::task_id first{jobs::job_id{1}, 0, 0, 0};
+    const jobs::task_id second{jobs::job_id{1}, 0, 0, 1};
+    REQUIRE(f.driver.is_ready(second));
+    f.loses_stops = true;
+    f.driver.drain(gated_leader::server_name);
+    f.driver.stop(first, std::string{maintenance_stop});
+    f.loop.advance(2s);
+    const std::size_t sent_while_ready = f.stops_sent;
+    CHECK(sent_while_ready >= 2);
+    // The other task is not at work any more.
+    f.driver.stop(second, "gang_member_ended");
+    f.loop.advance(2s);
+    const std::size_t sent = f.stops_sent;
+    f.loop.advance(2s);
+    CHECK(f.stops_sent > sent);
+    CHECK(f.stops_of(first) == sent_while_ready);
+    // A cancelled job has no tasks to keep at work.
+    f.loses_stops = false;
+    f.log.propose_here(jobs::cancel_job{jobs::job_id{1}, wall_now()});
+    f.loop.advance(2s);
+    CHECK(f.stops_of(first) > sent_while_ready);
+    CHECK(f.server.run_count() == 0);
+}
+
+TEST_CASE("stops: a stop without an answer is withdrawn with its maintenance, once it can't arrive")
+{
+    gated_leader f;
+    jobs::step_spec step = make_step(1);
+    step.long_running = true;
+    f.submit(1, step);
+    f.loop.advance(1s);
+    const jobs::task_id task{jobs::job_id{1}, 0, 0, 0};
+    f.loses_stops = true;
+    f.driver.drain(gated_leader::server_name);
+    f.driver.stop(task, std::string{maintenance_stop});
+    f.loop.advance(500ms);
+    f.driver.cordon(gated_leader::server_name, false);
+    f.loop.advance(100ms);
+    const std::size_t sent = f.stops_sent;
+    f.loop.advance(10s);
+    CHECK_FALSE(f.driver.is_ready(task));
+    f.loop.advance(4s);
+    CHECK(f.driver.is_ready(task));
+    CHECK(f.stops_sent == sent);
+    CHECK(f.runs(1));
+}
+
 TEST_CASE("start gate: a start waits for the steps before it")
 {
     gated_leader f;
